--- /dev/null
+++ b/cmake/MangoroadTargets.cmake
@@ -0,0 +1,63 @@
+# Functions that add a library, a test, a benchmark and a fuzz target with the settings of the project.
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED COMPONENTS Crypto)
+find_package(fmt REQUIRED)
+
+add_library(mangoroad_options INTERFACE)
+target_compile_options(mangoroad_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_definitions(mangoroad_options INTERFACE SPDLOG_FMT_EXTERNAL SPDLOG_COMPILED_LIB MSGPACK_NO_BOOST)
+target_include_directories(mangoroad_options INTERFACE "${PROJECT_SOURCE_DIR}/src/libs")
+
+# mangoroad_add_library(NAME SOURCES ... DEPENDS ...): library mangoroad_<NAME> in src/libs/<NAME>.
+# DEPENDS names project libraries without the prefix, LINKS names outside libraries.
+function(mangoroad_add_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LINKS" ${ARGN})
+  add_library(mangoroad_${name} STATIC ${ARG_SOURCES})
+  target_link_libraries(mangoroad_${name} PUBLIC mangoroad_options)
+  foreach(dependency IN LISTS ARG_DEPENDS)
+    target_link_libraries(mangoroad_${name} PUBLIC mangoroad_${dependency})
+  endforeach()
+  target_link_libraries(mangoroad_${name} PRIVATE ${ARG_LINKS})
+endfunction()
+
+# mangoroad_add_program(NAME SOURCES ... DEPENDS ... LINKS ...): program NAME.
+function(mangoroad_add_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LINKS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE mangoroad_options ${ARG_LINKS})
+  foreach(dependency IN LISTS ARG_DEPENDS)
+    target_link_libraries(${name} PRIVATE mangoroad_${dependency})
+  endforeach()
+endfunction()
+
+# mangoroad_add_test(MODULE SOURCES ... DEPENDS ... LINKS ...): one Catch2 program tst_<MODULE>.
+function(mangoroad_add_test module)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LINKS" ${ARGN})
+  mangoroad_add_program(tst_${module} SOURCES ${ARG_SOURCES} DEPENDS ${ARG_DEPENDS}
+    LINKS mangoroad_test_main ${ARG_LINKS})
+  target_compile_definitions(tst_${module} PRIVATE MANGOROAD_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  add_test(NAME ${module} COMMAND tst_${module})
+  set_tests_properties(${module} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# mangoroad_add_benchmark(NAME SOURCES ... DEPENDS ...): a Google Benchmark program bench_<NAME>.
+function(mangoroad_add_benchmark name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LINKS" ${ARGN})
+  mangoroad_add_program(bench_${name} SOURCES ${ARG_SOURCES} DEPENDS ${ARG_DEPENDS}
+    LINKS benchmark::benchmark ${ARG_LINKS})
+endfunction()
+
+# mangoroad_add_fuzzer(NAME SOURCES ... DEPENDS ...): a libFuzzer program fuzz_<NAME>; only in the fuzz preset.
+function(mangoroad_add_fuzzer name)
+  if(NOT MANGOROAD_FUZZ)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LINKS" ${ARGN})
+  mangoroad_add_program(fuzz_${name} SOURCES ${ARG_SOURCES} DEPENDS ${ARG_DEPENDS} LINKS ${ARG_LINKS})
+  target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer,address)
+endfunction()
