--- /dev/null
+++ b/src/libs/entry/json_reader.h
@@ -0,0 +1,52 @@
+// Reads a JSON object field by field and collects every fault: missing and unknown fields, wrong types, ranges.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangoroad::entry {
+
+enum class Presence { kRequired, kOptional };
+
+/// Reader of one JSON object. After the last field has been read, Fault() is empty or names the first faults.
+class JsonReader {
+ public:
+  /// Parses `text`; a text that isn't an object is a fault.
+  explicit JsonReader(std::string_view text);
+  ~JsonReader();
+  JsonReader(JsonReader&&) noexcept;
+  JsonReader& operator=(JsonReader&&) noexcept;
+  JsonReader(const JsonReader&) = delete;
+  JsonReader& operator=(const JsonReader&) = delete;
+
+  std::string Text(std::string_view name, Presence presence, std::size_t max_size = 4096,
+                   std::string_view fallback = "");
+  std::int64_t Integer(std::string_view name, Presence presence, std::int64_t low = 0,
+                       std::int64_t high = std::numeric_limits<std::int64_t>::max(),
+                       std::int64_t fallback = 0);
+  double Number(std::string_view name, Presence presence, double low, double high,
+                double fallback = 0);
+  bool Flag(std::string_view name, Presence presence, bool fallback = false);
+  std::vector<std::string> Texts(std::string_view name, Presence presence);
+  /// The objects in an array, each with a reader of its own; their faults are added by Absorb.
+  std::vector<JsonReader> Objects(std::string_view name, Presence presence);
+  /// Members of an object whose values are integers.
+  std::vector<std::pair<std::string, std::int64_t>> IntegerMap(std::string_view name,
+                                                               Presence presence);
+  /// Takes over the faults of a nested reader.
+  void Absorb(const JsonReader& nested);
+
+  /// Empty, or a message that names the fields at fault, unknown ones included.
+  [[nodiscard]] std::string Fault() const;
+
+ private:
+  struct Private;
+  JsonReader();
+  std::unique_ptr<Private> d;
+};
+
+}  // namespace mangoroad::entry
