Add the jobs module: job book, lease keeper, target's side of task leases

Cause: jobs, their leases and checkpoints need one agreed account, and a task must never run in two places. A start names the report from whose sending its lease counts, so a start that is delayed on its way can't begin a lease that the leader has already written off.

--- /dev/null
+++ b/src/libs/jobs/job.h
@@ -0,0 +1,130 @@
+// Jobs, their states and the table of permitted transitions.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mangoroad::jobs {
+
+/// Number of a job, assigned by the replicated log; never reused.
+using JobId = std::uint64_t;
+
+/// Fencing token of one attempt: the log index of its `started` command.
+using Token = std::uint64_t;
+
+/// Amounts that a task reserves or a target provides.
+struct Resources {
+  /// Thousandths of a processor core.
+  std::int64_t millicores = 0;
+  /// Memory in MiB.
+  std::int64_t memory_mib = 0;
+  /// Whole accelerators.
+  std::int64_t accelerators = 0;
+
+  auto operator<=>(const Resources&) const = default;
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  /// True when each amount is at most that of `available`.
+  bool FitsIn(const Resources& available) const;
+};
+
+enum class JobState : std::uint8_t {
+  kQueued,
+  kStarting,
+  kRunning,
+  kCheckpointing,
+  kStopping,
+  kEvicted,
+  kSucceeded,
+  kFailed,
+  kCancelled,
+  kUnplaceable,
+};
+
+/// What happens to a job; together with the state it determines the next state.
+enum class JobEvent : std::uint8_t {
+  kStart,
+  kRun,
+  kOrderCheckpoint,
+  kCheckpointTaken,
+  kOrderStop,
+  kEvict,
+  kStartRefused,
+  kRetry,
+  kSucceed,
+  kFail,
+  kCancel,
+  kStopCancelled,
+  kFindUnplaceable,
+  kReconsider,
+};
+
+/// State after `event` in `state`, or nothing when the table doesn't permit it.
+std::optional<JobState> NextState(JobState state, JobEvent event);
+
+/// True for `succeeded`, `failed` and `cancelled`.
+bool IsTerminal(JobState state);
+
+/// True while an attempt may be running on a target, so that its lease matters.
+bool HoldsLease(JobState state);
+
+/// Name as in the interface, such as "queued".
+std::string_view NameOf(JobState state);
+std::string_view NameOf(JobEvent event);
+std::optional<JobState> JobStateOfName(std::string_view name);
+
+/// What a caller submits.
+struct JobSpec {
+  std::string row;
+  std::string team;
+  /// Idempotency key of the team, 1 to 128 printable characters, or empty for none.
+  std::string key;
+  Resources declared;
+  /// Declared run time in seconds; 0 when unknown.
+  std::int64_t run_time_s = 0;
+  std::string command;
+  bool checkpointable = false;
+  bool urgent = false;
+  /// Failed attempts after which the job is tried again; from the row.
+  std::uint32_t retries = 0;
+  /// How long a task continues without contact, in seconds; from the row's `hold_s`.
+  std::int64_t hold_s = 0;
+
+  bool operator==(const JobSpec&) const = default;
+};
+
+/// One job as agreed by the replicated log.
+struct Job {
+  JobId id = 0;
+  JobSpec spec;
+  JobState state = JobState::kQueued;
+  /// Number of the current or last attempt; 0 before the first.
+  std::uint32_t attempt = 0;
+  /// Token of the current or last attempt.
+  Token token = 0;
+  /// Token of the attempt whose end was taken last, so that a repeated report changes nothing.
+  Token finished_token = 0;
+  /// Target and incarnation of the current or last attempt.
+  std::string target;
+  std::uint64_t incarnation = 0;
+  /// What the current or last attempt reserves.
+  Resources reserved;
+  /// Number of the last durable checkpoint; 0 for none.
+  std::uint64_t checkpoint = 0;
+  std::uint32_t evictions = 0;
+  std::uint32_t failures = 0;
+  std::int32_t exit_code = 0;
+  bool cancel_requested = false;
+  /// Why the job can't be placed, was refused or failed.
+  std::string reason;
+  /// Labels in wall time, milliseconds since 1970.
+  std::int64_t submitted_ms = 0;
+  std::int64_t changed_ms = 0;
+
+  bool operator==(const Job&) const = default;
+};
+
+}  // namespace mangoroad::jobs
--- /dev/null
+++ b/src/libs/jobs/lease_keeper.cc
@@ -0,0 +1,276 @@
+#include "jobs/lease_keeper.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <ranges>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace mangoroad::jobs {
+namespace {
+
+using base::Duration;
+using base::TimePoint;
+
+// A proposal that isn't applied after this time was lost with its leader or by overload.
+constexpr Duration kProposeAgainAfter = std::chrono::seconds(1);
+
+struct Lease {
+  Token token = 0;
+  std::string target;
+  std::uint64_t incarnation = 0;
+  Duration length{};
+  TimePoint end{};
+  /// Set once the lease was given as ended, or its target is known to have lost the task.
+  std::optional<LeaseEnd> ended{};
+  JobState state = JobState::kStarting;
+  std::uint64_t checkpoint = 0;
+};
+
+struct TargetView {
+  std::uint64_t incarnation = 0;
+  /// The last accepted report of this incarnation; 0 for none.
+  std::uint64_t sequence = 0;
+  TimePoint received;
+  std::set<JobId> leases;
+  std::set<std::pair<JobId, Token>> acknowledged;
+};
+
+struct Deadline {
+  TimePoint at;
+  JobId job;
+  Token token;
+  bool operator>(const Deadline& other) const { return this->at > other.at; }
+};
+
+}  // namespace
+
+struct LeaseKeeper::Private {
+  LeaseSettings settings;
+  std::unordered_map<JobId, Lease> leases;
+  std::unordered_map<std::string, TargetView> targets;
+  // One entry for each lease; an entry whose lease was renewed since is put back when it is due.
+  std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> deadlines;
+
+  // The moment after which the target's own account of the lease has certainly ended.
+  TimePoint EndAfter(TimePoint received, Duration length) const {
+    const Duration allowance = length * this->settings.drift_permille / 1000 + this->settings.slack;
+    return received + length + allowance;
+  }
+
+  void Add(TimePoint now, const Job& job) {
+    const Duration hold = std::chrono::seconds(job.spec.hold_s);
+    Lease lease{.token = job.token,
+                .target = job.target,
+                .incarnation = job.incarnation,
+                .length = std::max(this->settings.lease, hold),
+                .state = job.state,
+                .checkpoint = job.checkpoint};
+    lease.end = this->EndAfter(now, lease.length);
+    TargetView& target = this->targets[job.target];
+    target.leases.insert(job.id);
+    if (job.incarnation < target.incarnation) {
+      lease.ended = LeaseEnd::kNewIncarnation;
+      lease.end = now;
+    }
+    this->deadlines.push({lease.end, job.id, job.token});
+    this->leases.insert_or_assign(job.id, std::move(lease));
+  }
+
+  void Drop(JobId job) {
+    const auto lease = this->leases.find(job);
+    if (lease == this->leases.end()) return;
+    this->targets[lease->second.target].leases.erase(job);
+    this->leases.erase(lease);
+  }
+
+  void End(TimePoint now, JobId job, LeaseEnd reason) {
+    Lease& lease = this->leases.at(job);
+    if (lease.ended) return;
+    lease.ended = reason;
+    lease.end = now;
+    this->deadlines.push({now, job, lease.token});
+  }
+
+  Lease* Valid(JobId job, Token token, TimePoint now) {
+    const auto found = this->leases.find(job);
+    if (found == this->leases.end()) return nullptr;
+    Lease& lease = found->second;
+    return lease.token == token && !lease.ended && now < lease.end ? &lease : nullptr;
+  }
+
+  // A running task: its lease is renewed, or it has to stop when it has none.
+  void OnRunning(TimePoint now, const TaskReport& task, ReportDecision& decision) {
+    Lease* lease = this->Valid(task.job, task.token, now);
+    if (lease == nullptr) {
+      decision.reply.orders.push_back({task.job, task.token, TaskAction::kStop});
+      return;
+    }
+    lease->end = this->EndAfter(now, lease->length);
+    decision.reply.renewals.push_back({task.job, task.token, lease->length});
+    if (lease->state == JobState::kStarting) {
+      decision.changes.emplace_back(JobRunning{task.job, task.token});
+    }
+    if (task.checkpoint > lease->checkpoint) {
+      decision.changes.emplace_back(Checkpointed{task.job, task.token, task.checkpoint});
+    }
+  }
+
+  // An ended task: the log learns of it once, then the target may forget it.
+  void OnEnded(TimePoint now, TargetView& target, const TaskReport& task,
+               ReportDecision& decision) {
+    if (target.acknowledged.contains({task.job, task.token})) {
+      decision.reply.acknowledged.push_back({task.job, task.token});
+      return;
+    }
+    // Keeps the lease's expiry from overtaking the report of the end on its way into the log.
+    if (Lease* lease = this->Valid(task.job, task.token, now)) {
+      lease->end = this->EndAfter(now, lease->length);
+    }
+    switch (task.state) {
+      case TaskState::kFinished:
+        if (task.checkpoint > 0) {
+          decision.changes.emplace_back(Checkpointed{task.job, task.token, task.checkpoint});
+        }
+        decision.changes.emplace_back(JobFinished{task.job, task.token, task.exit_code});
+        break;
+      case TaskState::kRefused:
+        decision.changes.emplace_back(StartRefused{task.job, task.token, "refused by target"});
+        break;
+      default:
+        decision.changes.emplace_back(JobEvicted{task.job, task.token, task.checkpoint});
+        break;
+    }
+  }
+};
+
+LeaseKeeper::LeaseKeeper(LeaseSettings settings) : d(std::make_unique<Private>()) {
+  this->d->settings = settings;
+}
+LeaseKeeper::~LeaseKeeper() = default;
+LeaseKeeper::LeaseKeeper(LeaseKeeper&&) noexcept = default;
+LeaseKeeper& LeaseKeeper::operator=(LeaseKeeper&&) noexcept = default;
+
+void LeaseKeeper::BecomeLeader(TimePoint now, const std::vector<const Job*>& held) {
+  const LeaseSettings settings = this->d->settings;
+  this->d = std::make_unique<Private>();
+  this->d->settings = settings;
+  for (const Job* job : held) {
+    if (HoldsLease(job->state)) this->d->Add(now, *job);
+  }
+}
+
+void LeaseKeeper::OnApplied(TimePoint now, const Job& job) {
+  const auto lease = this->d->leases.find(job.id);
+  if (!HoldsLease(job.state)) {
+    this->d->Drop(job.id);
+  } else if (lease == this->d->leases.end() || lease->second.token != job.token) {
+    this->d->Drop(job.id);
+    this->d->Add(now, job);
+  } else {
+    lease->second.state = job.state;
+    lease->second.checkpoint = job.checkpoint;
+  }
+}
+
+std::optional<StartTerms> LeaseKeeper::TermsForStart(JobId job) {
+  const auto found = this->d->leases.find(job);
+  if (found == this->d->leases.end() || found->second.ended) return std::nullopt;
+  Lease& lease = found->second;
+  const TargetView& target = this->d->targets[lease.target];
+  if (target.sequence == 0 || target.incarnation != lease.incarnation) return std::nullopt;
+  lease.end = std::max(lease.end, this->d->EndAfter(target.received, lease.length));
+  return StartTerms{lease.incarnation, target.sequence, lease.length};
+}
+
+ReportDecision LeaseKeeper::OnReport(TimePoint now, const TargetReport& report,
+                                     bool has_leader_lease) {
+  ReportDecision decision;
+  if (!has_leader_lease) return decision;
+  this->OnIncarnation(now, report.target, report.incarnation);
+  TargetView& target = this->d->targets[report.target];
+  if (report.incarnation < target.incarnation || report.sequence <= target.sequence) {
+    return decision;
+  }
+  target.sequence = report.sequence;
+  target.received = now;
+  decision.accepted = true;
+  decision.reply.incarnation = report.incarnation;
+  decision.reply.sequence = report.sequence;
+  std::vector<JobId> reported;
+  std::set<std::pair<JobId, Token>> still_reported;
+  for (const TaskReport& task : report.tasks) {
+    reported.push_back(task.job);
+    if (task.state == TaskState::kRunning) {
+      this->d->OnRunning(now, task, decision);
+    } else {
+      if (target.acknowledged.contains({task.job, task.token})) {
+        still_reported.emplace(task.job, task.token);
+      }
+      this->d->OnEnded(now, target, task, decision);
+    }
+  }
+  target.acknowledged = std::move(still_reported);
+  std::ranges::sort(reported);
+  std::ranges::copy_if(target.leases, std::back_inserter(decision.unreported), [&](JobId job) {
+    return !this->d->leases.at(job).ended && !std::ranges::binary_search(reported, job);
+  });
+  return decision;
+}
+
+void LeaseKeeper::Acknowledge(std::string_view target, JobId job, Token token) {
+  this->d->targets[std::string(target)].acknowledged.emplace(job, token);
+}
+
+void LeaseKeeper::OnIncarnation(TimePoint now, std::string_view target, std::uint64_t incarnation) {
+  TargetView& view = this->d->targets[std::string(target)];
+  if (incarnation <= view.incarnation) return;
+  view.incarnation = incarnation;
+  view.sequence = 0;
+  view.acknowledged.clear();
+  for (const JobId job : view.leases) {
+    if (this->d->leases.at(job).incarnation < incarnation) {
+      this->d->End(now, job, LeaseEnd::kNewIncarnation);
+    }
+  }
+}
+
+void LeaseKeeper::OnTargetLost(TimePoint now, std::string_view target) {
+  const auto view = this->d->targets.find(std::string(target));
+  if (view == this->d->targets.end()) return;
+  for (const JobId job : view->second.leases) this->d->End(now, job, LeaseEnd::kTargetLost);
+}
+
+std::vector<LeaseEnded> LeaseKeeper::Tick(TimePoint now) {
+  std::vector<LeaseEnded> ended;
+  auto& deadlines = this->d->deadlines;
+  while (!deadlines.empty() && deadlines.top().at <= now) {
+    const Deadline due = deadlines.top();
+    deadlines.pop();
+    const auto found = this->d->leases.find(due.job);
+    if (found == this->d->leases.end() || found->second.token != due.token) continue;
+    Lease& lease = found->second;
+    if (now < lease.end) {
+      deadlines.push({lease.end, due.job, due.token});
+      continue;
+    }
+    if (!lease.ended) lease.ended = LeaseEnd::kExpired;
+    lease.end = now + kProposeAgainAfter;
+    ended.push_back({due.job, due.token, *lease.ended});
+    deadlines.push({lease.end, due.job, due.token});
+  }
+  return ended;
+}
+
+std::optional<TimePoint> LeaseKeeper::EndOf(JobId job) const {
+  const auto lease = this->d->leases.find(job);
+  if (lease == this->d->leases.end()) return std::nullopt;
+  return lease->second.end;
+}
+
+std::size_t LeaseKeeper::Count() const { return this->d->leases.size(); }
+
+}  // namespace mangoroad::jobs
--- /dev/null
+++ b/src/libs/jobs/target_tasks.cc
@@ -0,0 +1,245 @@
+#include "jobs/target_tasks.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace mangoroad::jobs {
+namespace {
+
+using base::Duration;
+using base::TimePoint;
+
+/// A task whose process exists.
+struct Task {
+  StartTask start;
+  TimePoint lease_end{};
+  bool lease_lost = false;
+  TaskReport report{};
+};
+
+struct SentReport {
+  std::uint64_t sequence = 0;
+  TimePoint sent;
+};
+
+/// The newest attempt of a job that was decided here.
+struct Attempt {
+  Token token = 0;
+  TimePoint decided;
+  StartAnswer answer;
+};
+
+}  // namespace
+
+struct TargetTasks::Private {
+  TargetTasksSettings settings;
+  std::uint64_t sequence = 0;
+  std::map<JobId, Task> tasks;
+  std::map<JobId, Attempt> attempts;
+  /// Reports of ended attempts that aren't acknowledged yet.
+  std::vector<TaskReport> ended;
+  std::deque<SentReport> sent;
+  std::vector<TaskCommand> commands;
+  Resources reserved;
+
+  // Stops what has no lease any more and forgets what no late message can refer to.
+  void AdvanceTo(TimePoint now) {
+    for (auto& [job, task] : this->tasks) {
+      if (task.lease_lost || now < task.lease_end) continue;
+      task.lease_lost = true;
+      this->commands.push_back({job, task.start.token, TaskAction::kStop});
+    }
+    while (!this->sent.empty() && this->sent.front().sent + this->settings.memory < now) {
+      this->sent.pop_front();
+    }
+  }
+
+  void ForgetOldAttempts(TimePoint now) {
+    std::erase_if(this->attempts, [&](const auto& entry) {
+      return entry.second.decided + this->settings.memory < now &&
+             !this->tasks.contains(entry.first);
+    });
+  }
+
+  std::optional<TimePoint> SentAt(std::uint64_t report) const {
+    const auto found = std::ranges::lower_bound(this->sent, report, {}, &SentReport::sequence);
+    if (found == this->sent.end() || found->sequence != report) return std::nullopt;
+    return found->sent;
+  }
+
+  Task* Running(JobId job, Token token) {
+    const auto found = this->tasks.find(job);
+    if (found == this->tasks.end()) return nullptr;
+    Task& task = found->second;
+    return task.start.token == token && !task.lease_lost ? &task : nullptr;
+  }
+
+  void End(JobId job, TaskState state, std::int32_t exit_code) {
+    const auto found = this->tasks.find(job);
+    TaskReport report = found->second.report;
+    report.state = state;
+    report.exit_code = exit_code;
+    this->ended.push_back(report);
+    this->reserved -= found->second.start.reserved;
+    this->tasks.erase(found);
+  }
+
+  static StartAnswer Refuse(StartRefusal refusal, bool final, std::string message) {
+    return {refusal, final, std::move(message)};
+  }
+
+  StartAnswer Admit(TimePoint now, const StartTask& start) {
+    if (start.incarnation != this->settings.incarnation) {
+      return Refuse(StartRefusal::kOtherIncarnation, false,
+                    fmt::format("start for incarnation {} at {}", start.incarnation,
+                                this->settings.incarnation));
+    }
+    const auto attempt = this->attempts.find(start.job);
+    if (attempt != this->attempts.end()) {
+      if (start.token == attempt->second.token) return attempt->second.answer;
+      if (start.token < attempt->second.token) {
+        return Refuse(StartRefusal::kOldToken, false,
+                      fmt::format("job {}: token {} after {}", start.job, start.token,
+                                  attempt->second.token));
+      }
+    }
+    const auto sent_at = this->SentAt(start.report_sequence);
+    if (!sent_at || now >= *sent_at + start.lease) {
+      return Refuse(StartRefusal::kLeaseEnded, false,
+                    fmt::format("job {}: the lease after report {} has ended", start.job,
+                                start.report_sequence));
+    }
+    if (this->tasks.contains(start.job)) {
+      return Refuse(StartRefusal::kOldAttemptRuns, false,
+                    fmt::format("job {}: an older attempt still has a process", start.job));
+    }
+    Resources needed = this->reserved;
+    needed += start.reserved;
+    if (!needed.FitsIn(this->settings.capacity)) {
+      return this->Decide(now, start,
+                          Refuse(StartRefusal::kNoCapacity, true,
+                                 fmt::format("job {}: exceeds the capacity of {}", start.job,
+                                             this->settings.target)));
+    }
+    Task task{.start = start, .lease_end = *sent_at + start.lease};
+    task.report = {.job = start.job, .token = start.token, .checkpoint = start.checkpoint};
+    this->tasks.emplace(start.job, std::move(task));
+    this->reserved = needed;
+    return this->Decide(now, start, {});
+  }
+
+  StartAnswer Decide(TimePoint now, const StartTask& start, StartAnswer answer) {
+    if (answer.refusal) {
+      this->ended.push_back({.job = start.job, .token = start.token, .state = TaskState::kRefused});
+    }
+    this->attempts.insert_or_assign(start.job, Attempt{start.token, now, answer});
+    return answer;
+  }
+};
+
+TargetTasks::TargetTasks(TargetTasksSettings settings) : d(std::make_unique<Private>()) {
+  this->d->settings = std::move(settings);
+}
+TargetTasks::~TargetTasks() = default;
+TargetTasks::TargetTasks(TargetTasks&&) noexcept = default;
+TargetTasks& TargetTasks::operator=(TargetTasks&&) noexcept = default;
+
+StartAnswer TargetTasks::Start(TimePoint now, const StartTask& start) {
+  this->d->AdvanceTo(now);
+  return this->d->Admit(now, start);
+}
+
+TargetReport TargetTasks::MakeReport(TimePoint now) {
+  this->d->AdvanceTo(now);
+  this->d->ForgetOldAttempts(now);
+  this->d->sent.push_back({++this->d->sequence, now});
+  TargetReport report{.target = this->d->settings.target,
+                      .incarnation = this->d->settings.incarnation,
+                      .sequence = this->d->sequence,
+                      .tasks = this->d->ended};
+  for (const auto& [job, task] : this->d->tasks) report.tasks.push_back(task.report);
+  return report;
+}
+
+void TargetTasks::OnReply(TimePoint now, const ReportReply& reply) {
+  this->d->AdvanceTo(now);
+  const auto sent_at = this->d->SentAt(reply.sequence);
+  if (reply.incarnation != this->d->settings.incarnation || !sent_at) return;
+  for (const Renewal& renewal : reply.renewals) {
+    Task* task = this->d->Running(renewal.job, renewal.token);
+    if (task != nullptr) task->lease_end = std::max(task->lease_end, *sent_at + renewal.lease);
+  }
+  for (const TaskAcknowledgement& done : reply.acknowledged) {
+    std::erase_if(this->d->ended, [&](const TaskReport& report) {
+      return report.job == done.job && report.token == done.token;
+    });
+  }
+  for (const TaskOrder& order : reply.orders) this->Order(now, order);
+}
+
+bool TargetTasks::Order(TimePoint now, const TaskOrder& order) {
+  this->d->AdvanceTo(now);
+  if (this->d->Running(order.job, order.token) == nullptr) return false;
+  this->d->commands.push_back({order.job, order.token, order.action});
+  return true;
+}
+
+bool TargetTasks::SetUsage(TimePoint now, const TaskReport& usage) {
+  this->d->AdvanceTo(now);
+  Task* task = this->d->Running(usage.job, usage.token);
+  if (task == nullptr) return false;
+  task->report.millicores_used = usage.millicores_used;
+  task->report.memory_mib_used = usage.memory_mib_used;
+  task->report.progress = usage.progress;
+  task->report.slowdown = usage.slowdown;
+  return true;
+}
+
+bool TargetTasks::OnCheckpointDurable(TimePoint now, JobId job, Token token, std::uint64_t number) {
+  this->d->AdvanceTo(now);
+  Task* task = this->d->Running(job, token);
+  if (task == nullptr || number <= task->report.checkpoint) return false;
+  task->report.checkpoint = number;
+  return true;
+}
+
+bool TargetTasks::OnFinished(TimePoint now, JobId job, Token token, std::int32_t exit_code) {
+  this->d->AdvanceTo(now);
+  if (this->d->Running(job, token) == nullptr) return false;
+  this->d->End(job, TaskState::kFinished, exit_code);
+  return true;
+}
+
+bool TargetTasks::OnStopped(TimePoint now, JobId job, Token token) {
+  this->d->AdvanceTo(now);
+  const auto task = this->d->tasks.find(job);
+  if (task == this->d->tasks.end() || task->second.start.token != token) return false;
+  this->d->End(job, task->second.lease_lost ? TaskState::kLeaseEnded : TaskState::kStopped, 0);
+  return true;
+}
+
+std::vector<TaskCommand> TargetTasks::TakeCommands(TimePoint now) {
+  this->d->AdvanceTo(now);
+  return std::exchange(this->d->commands, {});
+}
+
+bool TargetTasks::IsRunning(TimePoint now, JobId job, Token token) const {
+  const Task* task = this->d->Running(job, token);
+  return task != nullptr && now < task->lease_end;
+}
+
+Resources TargetTasks::Reserved() const { return this->d->reserved; }
+
+std::optional<TimePoint> TargetTasks::NextLeaseEnd() const {
+  std::optional<TimePoint> earliest;
+  for (const auto& [job, task] : this->d->tasks) {
+    if (!task.lease_lost && (!earliest || task.lease_end < *earliest)) earliest = task.lease_end;
+  }
+  return earliest;
+}
+
+}  // namespace mangoroad::jobs
