--- /dev/null
+++ b/src/libs/interference/interference.cc
@@ -0,0 +1,204 @@
+#include "interference/interference.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <unordered_map>
+
+#include "interference/mix_history.h"
+
+namespace mangoroad::interference {
+namespace {
+
+using base::TimePoint;
+
+constexpr std::size_t kRateClasses = 24;
+
+// Tasks below this share of a target are too few to disturb the measurement of a quiet service.
+constexpr double kQuietShare = 0.02;
+
+// Step of the learned quiet latency, in logarithms: an outlier moves it by at most 5%.
+constexpr double kQuietStep = 0.05;
+
+std::size_t RateClassOf(double rate) {
+  return std::min(kRateClasses - 1, static_cast<std::size_t>(std::log2(1 + std::max(0.0, rate))));
+}
+
+struct Service {
+  double bound_ms = 0;
+  double declared_quiet_ms = 0;
+  /// Learned p99 on targets without tasks for each class of rates; 0 when unknown.
+  std::array<double, kRateClasses> quiet_ms{};
+
+  double QuietAt(std::size_t rate_class) const {
+    if (this->quiet_ms.at(rate_class) > 0) return this->quiet_ms.at(rate_class);
+    if (this->declared_quiet_ms > 0) return this->declared_quiet_ms;
+    const auto known = std::ranges::find_if(this->quiet_ms, [](double ms) { return ms > 0; });
+    return known == this->quiet_ms.end() ? 0 : *known;
+  }
+
+  void LearnQuiet(std::size_t rate_class, double p99_ms) {
+    double& quiet = this->quiet_ms.at(rate_class);
+    if (quiet == 0) {
+      quiet = p99_ms;
+    } else {
+      quiet *= std::exp(std::clamp(0.2 * std::log(p99_ms / quiet), -kQuietStep, kQuietStep));
+    }
+  }
+};
+
+struct ServiceReport {
+  TimePoint taken_at;
+  double latency_use = 0;
+  std::size_t rate_class = 0;
+};
+
+struct TargetRecord {
+  MixHistory history;
+  TimePoint pruned_at;
+  std::optional<TimePoint> reported_at;
+  std::map<KindId, ServiceReport> services;
+};
+
+}  // namespace
+
+struct Interference::Private {
+  InterferenceSettings settings;
+  SlowdownModel model;
+  std::unordered_map<std::string, TargetRecord> targets;
+  std::unordered_map<KindId, Service> services;
+  double explore_budget = 0;
+
+  explicit Private(const InterferenceSettings& given) : settings(given), model(given.slowdown) {}
+
+  TargetRecord* Find(std::string_view target) {
+    const auto found = this->targets.find(std::string(target));
+    return found == this->targets.end() ? nullptr : &found->second;
+  }
+
+  // Old spans are dropped at most every quarter of the history, to keep events cheap.
+  void Prune(TimePoint now, TargetRecord& target) const {
+    if (now < target.pruned_at + this->settings.history / 4) return;
+    target.pruned_at = now;
+    target.history.Forget(now - this->settings.history);
+  }
+};
+
+Interference::Interference(InterferenceSettings settings)
+    : d(std::make_unique<Private>(settings)) {}
+Interference::~Interference() = default;
+Interference::Interference(Interference&&) noexcept = default;
+Interference& Interference::operator=(Interference&&) noexcept = default;
+
+KindId Interference::KindOf(std::string_view row) { return this->d->model.KindOf(row); }
+
+void Interference::OnTaskStarted(TimePoint at, std::string_view target, jobs::JobId job,
+                                 std::string_view row, double share) {
+  TargetRecord& record = this->d->targets[std::string(target)];
+  record.history.Begin(at, job, this->KindOf(row), share);
+  this->d->Prune(at, record);
+}
+
+void Interference::OnTaskEnded(TimePoint at, std::string_view target, jobs::JobId job) {
+  TargetRecord* record = this->d->Find(target);
+  if (record == nullptr) return;
+  record->history.End(at, job);
+  this->d->Prune(at, *record);
+}
+
+void Interference::OnTargetGone(std::string_view target) {
+  this->d->targets.erase(std::string(target));
+}
+
+void Interference::SetService(std::string_view row, double bound_ms, double quiet_p99_ms) {
+  Service& service = this->d->services[this->KindOf(row)];
+  service.bound_ms = bound_ms;
+  service.declared_quiet_ms = quiet_p99_ms;
+}
+
+void Interference::OnReport(TimePoint taken_at, std::string_view target) {
+  TargetRecord& record = this->d->targets[std::string(target)];
+  record.reported_at = std::max(record.reported_at.value_or(taken_at), taken_at);
+}
+
+void Interference::ObserveTask(TimePoint taken_at, std::string_view target, jobs::JobId job,
+                               double slowdown) {
+  TargetRecord* record = this->d->Find(target);
+  if (record == nullptr) return;
+  const auto kind = record->history.KindOf(job);
+  const auto mix = record->history.MixBefore(taken_at, this->d->settings.window, job);
+  if (!kind || !mix) return;
+  this->d->model.Observe(taken_at, *kind, mix->neighbours, mix->load, slowdown);
+}
+
+void Interference::ObserveService(TimePoint taken_at, std::string_view target, std::string_view row,
+                                  double p99_ms, double rate) {
+  const KindId kind = this->KindOf(row);
+  const auto service = this->d->services.find(kind);
+  if (service == this->d->services.end() || !std::isfinite(p99_ms) || p99_ms <= 0) return;
+  this->OnReport(taken_at, target);
+  TargetRecord& record = this->d->targets[std::string(target)];
+  const std::size_t rate_class = RateClassOf(rate);
+  ServiceReport& report = record.services[kind];
+  if (taken_at >= report.taken_at) {
+    const double bound = std::max(service->second.bound_ms, 1e-3);
+    report = {taken_at, p99_ms / bound, rate_class};
+  }
+  const auto mix = record.history.MixBefore(taken_at, this->d->settings.window, 0);
+  if (!mix || mix->load < kQuietShare) {
+    service->second.LearnQuiet(rate_class, p99_ms);
+    return;
+  }
+  const double quiet = service->second.QuietAt(rate_class);
+  if (quiet <= 0) return;
+  this->d->model.Observe(taken_at, kind, mix->neighbours, mix->load, p99_ms / quiet);
+}
+
+Estimate Interference::Predict(TimePoint now, KindId kind, std::span<const Neighbour> neighbours,
+                               double load) const {
+  return this->d->model.Predict(now, kind, neighbours, load);
+}
+
+Estimate Interference::PredictLatencyUse(TimePoint now, std::string_view target, KindId service,
+                                         std::span<const Neighbour> neighbours, double load) const {
+  const auto declared = this->d->services.find(service);
+  if (declared == this->d->services.end() || declared->second.bound_ms <= 0) return {};
+  std::size_t rate_class = 0;
+  if (const TargetRecord* record = this->d->Find(target); record != nullptr) {
+    const auto report = record->services.find(service);
+    if (report != record->services.end()) rate_class = report->second.rate_class;
+  }
+  const Estimate slowdown = this->Predict(now, service, neighbours, load);
+  const double scale = declared->second.QuietAt(rate_class) / declared->second.bound_ms;
+  return {slowdown.value * scale, slowdown.doubt * scale};
+}
+
+ServiceState Interference::ServicesOf(TimePoint now, std::string_view target) const {
+  ServiceState state;
+  const TargetRecord* record = this->d->Find(target);
+  const auto is_fresh = [&](TimePoint at) { return now - at <= this->d->settings.fresh; };
+  state.fresh = record != nullptr && record->reported_at && is_fresh(*record->reported_at);
+  if (record == nullptr) return state;
+  for (const auto& [kind, report] : record->services) {
+    state.latency_use = std::max(state.latency_use, report.latency_use);
+    state.fresh = state.fresh && is_fresh(report.taken_at);
+  }
+  return state;
+}
+
+bool Interference::MayExplore(TimePoint now, std::string_view target) const {
+  if (this->d->explore_budget < 1) return false;
+  const ServiceState state = this->ServicesOf(now, target);
+  return state.fresh && state.latency_use <= this->d->settings.explore_latency_use;
+}
+
+void Interference::OnPlaced(bool explored) {
+  double& budget = this->d->explore_budget;
+  budget = std::min(this->d->settings.explore_burst, budget + this->d->settings.explore_share);
+  if (explored) budget -= 1;
+}
+
+const SlowdownModel& Interference::Model() const { return this->d->model; }
+
+}  // namespace mangoroad::interference
--- a/src/libs/jobs/commands.h
+++ b/src/libs/jobs/commands.h
@@ -12,7 +12,7 @@
 
 /// Creates a job, or returns the one that has the same team and key.
 struct SubmitJob {
-  JobSpec spec;
+  JobSpec spec{};
 };
 
 /// Cancels a job. A running task is stopped first.
@@ -23,17 +23,17 @@
 /// Cancels by idempotency key. Before the submission it leaves a cancelled job, which the
 /// submission then gets.
 struct CancelKey {
-  std::string team;
-  std::string key;
+  std::string team{};
+  std::string key{};
 };
 
 /// Begins attempt number `attempt` on a target; the log index becomes its token.
 struct JobStarted {
   JobId job = 0;
   std::uint32_t attempt = 0;
-  std::string target;
+  std::string target{};
   std::uint64_t incarnation = 0;
-  Resources reserved;
+  Resources reserved{};
 };
 
 /// The target reports the task as running.
@@ -87,7 +87,7 @@
 struct StartRefused {
   JobId job = 0;
   Token token = 0;
-  std::string reason;
+  std::string reason{};
 };
 
 /// The task ended by itself; exit code 0 is success.
@@ -100,7 +100,7 @@
 /// The job fits no known target.
 struct JobUnplaceable {
   JobId job = 0;
-  std::string reason;
+  std::string reason{};
 };
 
 /// Targets changed so that the job may fit again.
@@ -116,7 +116,7 @@
 /// One log entry: commands applied in order, with the wall time at the proposer as a label.
 struct Command {
   std::int64_t wall_ms = 0;
-  std::vector<Change> changes;
+  std::vector<Change> changes{};
 };
 
 enum class AnswerKind : std::uint8_t {
@@ -150,7 +150,7 @@
   Token token = 0;
   std::uint32_t attempt = 0;
   std::uint64_t checkpoint = 0;
-  std::string message;
+  std::string message{};
 
   bool operator==(const Answer&) const = default;
 };
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -78,14 +78,14 @@
 
 /// What a caller submits.
 struct JobSpec {
-  std::string row;
-  std::string team;
+  std::string row{};
+  std::string team{};
   /// Idempotency key of the team, 1 to 128 printable characters, or empty for none.
-  std::string key;
-  Resources declared;
+  std::string key{};
+  Resources declared{};
   /// Declared run time in seconds; 0 when unknown.
   std::int64_t run_time_s = 0;
-  std::string command;
+  std::string command{};
   bool checkpointable = false;
   bool urgent = false;
   /// Failed attempts after which the job is tried again; from the row.
@@ -99,7 +99,7 @@
 /// One job as agreed by the replicated log.
 struct Job {
   JobId id = 0;
-  JobSpec spec;
+  JobSpec spec{};
   JobState state = JobState::kQueued;
   /// Number of the current or last attempt; 0 before the first.
   std::uint32_t attempt = 0;
@@ -108,10 +108,10 @@
   /// Token of the attempt whose end was taken last, so that a repeated report changes nothing.
   Token finished_token = 0;
   /// Target and incarnation of the current or last attempt.
-  std::string target;
+  std::string target{};
   std::uint64_t incarnation = 0;
   /// What the current or last attempt reserves.
-  Resources reserved;
+  Resources reserved{};
   /// Number of the last durable checkpoint; 0 for none.
   std::uint64_t checkpoint = 0;
   std::uint32_t evictions = 0;
@@ -119,7 +119,7 @@
   std::int32_t exit_code = 0;
   bool cancel_requested = false;
   /// Why the job can't be placed, was refused or failed.
-  std::string reason;
+  std::string reason{};
   /// Labels in wall time, milliseconds since 1970.
   std::int64_t submitted_ms = 0;
   std::int64_t changed_ms = 0;
--- a/src/libs/jobs/job_book.h
+++ b/src/libs/jobs/job_book.h
@@ -29,8 +29,8 @@
 
 /// Selects jobs for a listing; empty fields select all.
 struct JobFilter {
-  std::optional<JobState> state;
-  std::string row;
+  std::optional<JobState> state{};
+  std::string row{};
   /// Only jobs with a larger number.
   JobId after = 0;
   /// At most this many jobs.
--- a/src/libs/jobs/lease_keeper.h
+++ b/src/libs/jobs/lease_keeper.h
@@ -29,13 +29,13 @@
   /// False for an old, repeated or reordered report; then the rest is empty and no reply is sent.
   bool accepted = false;
   /// Renewals, stops of tasks that have no lease, and acknowledgements. The leader may add orders.
-  ReportReply reply;
+  ReportReply reply{};
   /// What the report says and the log doesn't have yet, to be proposed. The same changes come again
   /// with each report until OnApplied() or Acknowledge(), so a lost proposal does no harm.
-  std::vector<Change> changes;
+  std::vector<Change> changes{};
   /// Jobs with a lease on the target that the report doesn't mention: the start was lost or is on
   /// its way. The leader sends the start again with TermsForStart().
-  std::vector<JobId> unreported;
+  std::vector<JobId> unreported{};
 };
 
 /// What a start must carry so that the target's lease ends before the leader's account of it.
--- a/src/libs/jobs/target_tasks.h
+++ b/src/libs/jobs/target_tasks.h
@@ -25,11 +25,11 @@
 /// Answer to a start: accepted when `refusal` is empty. A repeated start of the same attempt gets
 /// the answer of the first.
 struct StartAnswer {
-  std::optional<StartRefusal> refusal;
+  std::optional<StartRefusal> refusal{};
   /// True when the attempt will never run here, so that it may be logged as refused. Otherwise a
   /// repeated start with newer terms may still be accepted.
   bool final = false;
-  std::string message;
+  std::string message{};
 };
 
 /// What the target's process has to do with a task.
@@ -40,9 +40,9 @@
 };
 
 struct TargetTasksSettings {
-  std::string target;
+  std::string target{};
   std::uint64_t incarnation = 1;
-  Resources capacity;
+  Resources capacity{};
   /// Ended attempts are remembered this long to refuse late starts; longer than any `hold_s`.
   base::Duration memory = std::chrono::hours(3);
 };
--- a/src/libs/jobs/task_messages.h
+++ b/src/libs/jobs/task_messages.h
@@ -20,9 +20,9 @@
   /// is delayed on its way would begin a lease after the leader's account of it has ended.
   std::uint64_t report_sequence = 0;
   base::Duration lease{};
-  std::string row;
-  std::string command;
-  Resources reserved;
+  std::string row{};
+  std::string command{};
+  Resources reserved{};
   /// Number of the checkpoint to resume from; 0 for none.
   std::uint64_t checkpoint = 0;
 };
@@ -58,11 +58,11 @@
 
 /// A target's report. Ended tasks stay in it until acknowledged.
 struct TargetReport {
-  std::string target;
+  std::string target{};
   std::uint64_t incarnation = 0;
   /// Grows by one with each report of an incarnation; the first is 1.
   std::uint64_t sequence = 0;
-  std::vector<TaskReport> tasks;
+  std::vector<TaskReport> tasks{};
 };
 
 /// Extends a lease to `lease` after the sending of the report that the reply names.
@@ -90,9 +90,9 @@
 struct ReportReply {
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
-  std::vector<Renewal> renewals;
-  std::vector<TaskOrder> orders;
-  std::vector<TaskAcknowledgement> acknowledged;
+  std::vector<Renewal> renewals{};
+  std::vector<TaskOrder> orders{};
+  std::vector<TaskAcknowledgement> acknowledged{};
 };
 
 }  // namespace mangoroad::jobs
--- /dev/null
+++ b/tests/auto/jobs/tst_job_book.cc
@@ -0,0 +1,276 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "jobs/job_book.h"
+#include "jobs/jobs_codec.h"
+
+namespace mangoroad::jobs {
+namespace {
+
+JobSpec Spec(std::string key = {}) {
+  return {.row = "ledger",
+          .team = "audit",
+          .key = std::move(key),
+          .declared = {2000, 4096, 0},
+          .run_time_s = 60,
+          .command = "rebuild",
+          .checkpointable = true};
+}
+
+/// A book with a log index of its own.
+class Log {
+ public:
+  Answer Apply(Change change) {
+    ++this->index;
+    const std::string bytes = this->book.Apply(
+        this->index, EncodeCommand({static_cast<std::int64_t>(this->index), {std::move(change)}}));
+    return ValueOf(DecodeAnswers(bytes)).at(0);
+  }
+  JobId Submit(const std::string& key = {}) { return this->Apply(SubmitJob{Spec(key)}).job; }
+  Token Start(JobId job) {
+    return this->Apply(JobStarted{job, this->book.Find(job)->attempt + 1, "t1", 1, {2000, 4096, 0}})
+        .token;
+  }
+  JobState StateOf(JobId job) const { return this->book.Find(job)->state; }
+
+  JobBook book;
+  std::uint64_t index = 0;
+};
+
+// Guards against a job that runs twice because its submission was sent twice.
+TEST_CASE("a key leads to one job") {
+  Log log;
+  const Answer first = log.Apply(SubmitJob{Spec("k")});
+  const Answer second = log.Apply(SubmitJob{Spec("k")});
+  CHECK(first.kind == AnswerKind::kCreated);
+  CHECK(second.kind == AnswerKind::kExisting);
+  CHECK(second.job == first.job);
+  JobSpec other = Spec("k");
+  other.command = "something else";
+  CHECK(log.Apply(SubmitJob{other}).kind == AnswerKind::kKeyReused);
+  other.team = "another";
+  CHECK(log.Apply(SubmitJob{other}).kind == AnswerKind::kCreated);
+}
+
+// Guards against a parked copy that starts although its caller cancelled it elsewhere.
+TEST_CASE("a cancellation by key holds before the submission") {
+  Log log;
+  const Answer cancelled = log.Apply(CancelKey{"audit", "k"});
+  const Answer submitted = log.Apply(SubmitJob{Spec("k")});
+  CHECK(submitted.kind == AnswerKind::kExisting);
+  CHECK(submitted.job == cancelled.job);
+  CHECK(submitted.state == JobState::kCancelled);
+  CHECK(log.book.Find(submitted.job)->spec.command == "rebuild");
+  CHECK(log.Apply(JobStarted{submitted.job, 1, "t1", 1, {}}).kind == AnswerKind::kNotPermitted);
+}
+
+// Guards against results taken twice, and against results of an attempt that was replaced.
+TEST_CASE("a finished report is taken once") {
+  Log log;
+  const JobId job = log.Submit();
+  const Token first = log.Start(job);
+  CHECK(log.Apply(LeaseEnded{job, first}).state == JobState::kEvicted);
+  const Token second = log.Start(job);
+  CHECK(log.Apply(JobFinished{job, first, 0}).kind == AnswerKind::kStaleToken);
+  CHECK(log.Apply(JobFinished{job, second, 0}).state == JobState::kSucceeded);
+  const Answer repeated = log.Apply(JobFinished{job, second, 0});
+  CHECK(repeated.kind == AnswerKind::kRepeated);
+  CHECK(repeated.state == JobState::kSucceeded);
+}
+
+// Guards against work done again although the target finished it before its lease ended.
+TEST_CASE("a late report of the end is taken while no later attempt was started") {
+  Log log;
+  const JobId job = log.Submit();
+  const Token token = log.Start(job);
+  log.Apply(LeaseEnded{job, token});
+  CHECK(log.Apply(JobFinished{job, token, 0}).state == JobState::kSucceeded);
+  CHECK(log.Apply(JobStarted{job, 2, "t2", 1, {}}).kind == AnswerKind::kNotPermitted);
+}
+
+// Guards against two attempts at a time and against an attempt that is started twice.
+TEST_CASE("an attempt is one log entry") {
+  Log log;
+  const JobId job = log.Submit();
+  log.Start(job);
+  CHECK(log.Apply(JobStarted{job, 2, "t2", 1, {}}).kind == AnswerKind::kNotPermitted);
+  CHECK(log.Apply(JobStarted{job, 1, "t2", 1, {}}).kind == AnswerKind::kNotPermitted);
+  CHECK(log.book.Find(job)->target == "t1");
+}
+
+// Guards against resuming from a checkpoint that isn't the last durable one.
+TEST_CASE("checkpoint numbers only grow") {
+  Log log;
+  const JobId job = log.Submit();
+  const Token token = log.Start(job);
+  CHECK(log.Apply(Checkpointed{job, token, 3}).checkpoint == 3);
+  CHECK(log.Apply(Checkpointed{job, token, 2}).kind == AnswerKind::kRepeated);
+  CHECK(log.Apply(JobEvicted{job, token, 5}).state == JobState::kEvicted);
+  CHECK(log.book.Find(job)->checkpoint == 5);
+  CHECK(log.Apply(JobEvicted{job, token, 4}).kind == AnswerKind::kRepeated);
+  const Token next = log.Start(job);
+  CHECK(log.Apply(Checkpointed{job, token, 9}).kind == AnswerKind::kStaleToken);
+  CHECK(log.Apply(Checkpointed{job, next, 6}).checkpoint == 6);
+}
+
+// Guards against a report of cancellation while the task still runs.
+TEST_CASE("a running job is cancelled once its task has stopped") {
+  Log log;
+  const JobId job = log.Submit();
+  const Token token = log.Start(job);
+  CHECK(log.Apply(CancelJob{job}).state == JobState::kStopping);
+  CHECK(log.Apply(JobEvicted{job, token, 0}).state == JobState::kCancelled);
+  CHECK(log.Apply(CancelJob{job}).kind == AnswerKind::kRepeated);
+}
+
+// Guards against a failed attempt that ends a job whose row permits retries, and against endless
+// retries.
+TEST_CASE("failures are retried as often as the row permits") {
+  Log log;
+  JobSpec spec = Spec();
+  spec.retries = 1;
+  const JobId job = log.Apply(SubmitJob{spec}).job;
+  const Token first = log.Start(job);
+  CHECK(log.Apply(JobFinished{job, first, 7}).state == JobState::kQueued);
+  CHECK(log.Apply(JobFinished{job, first, 7}).kind == AnswerKind::kRepeated);
+  CHECK(log.Apply(JobFinished{job, log.Start(job), 7}).state == JobState::kFailed);
+  CHECK(log.book.Find(job)->reason == "exit code 7 on t1");
+}
+
+// Guards against transitions that the design doesn't name, such as out of a terminal state.
+TEST_CASE("the transition table lets no job leave a terminal state") {
+  for (int state = 0; state <= static_cast<int>(JobState::kUnplaceable); ++state) {
+    for (int event = 0; event <= static_cast<int>(JobEvent::kReconsider); ++event) {
+      const auto from = static_cast<JobState>(state);
+      const auto next = NextState(from, static_cast<JobEvent>(event));
+      if (IsTerminal(from)) CHECK_FALSE(next);
+      if (next && static_cast<JobEvent>(event) == JobEvent::kStart) CHECK_FALSE(HoldsLease(from));
+    }
+  }
+}
+
+// Guards against a book that grows without bound, and a key whose job is forgotten too early.
+TEST_CASE("terminal jobs are kept up to a count and their keys longer") {
+  JobBook book({.terminal_jobs = 2, .terminal_keys = 1});
+  std::uint64_t index = 0;
+  for (const char* key : {"a", "b", "c", "d"}) {
+    book.ApplyCommand(++index, {0, {SubmitJob{Spec(key)}, CancelKey{"audit", key}}});
+  }
+  CHECK(book.CountOf(JobState::kCancelled) == 2);
+  CHECK(book.FindKey("audit", "a") == nullptr);
+  const Answer answer = book.ApplyCommand(++index, {0, {SubmitJob{Spec("b")}}}).at(0);
+  CHECK(answer.kind == AnswerKind::kExisting);
+  CHECK(answer.state == JobState::kCancelled);
+  CHECK(book.Find(answer.job) == nullptr);
+}
+
+// Guards against input that can't be carried out reaching the queue.
+TEST_CASE("a submission out of range is refused") {
+  const auto [field, spec] = GENERATE(table<std::string, JobSpec>({
+      {"row", {.team = "t", .declared = {1, 0, 0}}},
+      {"team", {.row = "r", .declared = {1, 0, 0}}},
+      {"key", {.row = "r", .team = "t", .key = std::string(129, 'k'), .declared = {1, 0, 0}}},
+      {"key", {.row = "r", .team = "t", .key = "a\nb", .declared = {1, 0, 0}}},
+      {"processors", {.row = "r", .team = "t"}},
+      {"memory_mib", {.row = "r", .team = "t", .declared = {1, -1, 0}}},
+      {"run_time_s", {.row = "r", .team = "t", .declared = {1, 0, 0}, .run_time_s = -1}},
+  }));
+  Log log;
+  const Answer answer = log.Apply(SubmitJob{spec});
+  CHECK(answer.kind == AnswerKind::kMalformed);
+  CHECK(answer.message.find(field) == 0);
+  CHECK(log.book.CountOf(JobState::kQueued) == 0);
+}
+
+// Guards against listings that skip or repeat jobs between pages.
+TEST_CASE("listing goes in pages") {
+  Log log;
+  for (int i = 0; i < 5; ++i) log.Submit();
+  log.Start(2);
+  const auto ids = [&](const JobFilter& filter) {
+    std::vector<JobId> found;
+    for (const Job* job : log.book.List(filter)) found.push_back(job->id);
+    return found;
+  };
+  CHECK(ids({.state = {}, .row = {}, .limit = 2}) == std::vector<JobId>{1, 2});
+  CHECK(ids({.state = {}, .row = {}, .after = 2}) == std::vector<JobId>{3, 4, 5});
+  CHECK(ids({.state = JobState::kQueued, .row = "ledger"}) == std::vector<JobId>{1, 3, 4, 5});
+  CHECK(ids({.state = {}, .row = "other"}).empty());
+}
+
+Change RandomChange(base::Random& random) {
+  const JobId job = 1 + random.Below(8);
+  const Token token = 1 + random.Below(400);
+  const std::string key = std::string(1, static_cast<char>('a' + random.Below(6)));
+  switch (random.Below(11)) {
+    case 0:
+      return SubmitJob{Spec(key)};
+    case 1:
+      return CancelJob{job};
+    case 2:
+      return CancelKey{"audit", key};
+    case 3:
+      return JobStarted{job, 1 + random.Below(4), "t", 1, {1, 1, 0}};
+    case 4:
+      return LeaseEnded{job, token, LeaseEnd::kTargetLost};
+    case 5:
+      return JobEvicted{job, token, random.Below(4)};
+    case 6:
+      return Checkpointed{job, token, random.Below(5)};
+    case 7:
+      return JobFinished{job, token, static_cast<std::int32_t>(random.Below(2))};
+    case 8:
+      return JobUnplaceable{job, "too large"};
+    case 9:
+      return StopOrdered{job, token};
+    default:
+      return JobReconsidered{job};
+  }
+}
+
+// Guards against replicas that differ after a snapshot.
+TEST_CASE("a restored book answers like the original") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    base::Random random(seed);
+    const BookLimits limits{.terminal_jobs = 3, .terminal_keys = 3};
+    JobBook original(limits);
+    JobBook restored(limits);
+    for (std::uint64_t index = 1; index <= 400; ++index) {
+      if (random.Chance(0.05)) REQUIRE(base::Ok(restored.Restore(original.Snapshot())));
+      const std::string bytes =
+          EncodeCommand({static_cast<std::int64_t>(index), {RandomChange(random)}});
+      INFO("seed " << seed << " index " << index);
+      REQUIRE(original.Apply(index, bytes) == restored.Apply(index, bytes));
+    }
+    REQUIRE(original.Snapshot() == restored.Snapshot());
+  }
+}
+
+// Guards against damaged bytes that crash a replica or change its state.
+TEST_CASE("damaged bytes are refused and change nothing") {
+  Log log;
+  log.Submit("a");
+  const std::string snapshot = log.book.Snapshot();
+  const std::string command = EncodeCommand({1, {SubmitJob{Spec("b")}}});
+  for (std::size_t size = 0; size < command.size(); ++size) {
+    const auto answers = DecodeAnswers(log.book.Apply(9, command.substr(0, size)));
+    REQUIRE(ValueOf(answers).at(0).kind == AnswerKind::kMalformed);
+  }
+  for (std::size_t size = 0; size < snapshot.size(); ++size) {
+    REQUIRE_FALSE(base::Ok(log.book.Restore(snapshot.substr(0, size))));
+  }
+  CHECK(log.book.Snapshot() == snapshot);
+  base::Random random(5);
+  for (int i = 0; i < 2000; ++i) {
+    std::string changed = command;
+    changed.at(random.Below(static_cast<std::uint32_t>(changed.size()))) =
+        static_cast<char>(random.Below(256));
+    log.book.Apply(10, changed);
+  }
+}
+
+}  // namespace
+}  // namespace mangoroad::jobs
