Add lending of target capacity

Cause: entry VMs of a failure domain share the slots and connections of targets without agreement between them; the target is the arbiter.

Change: Owner (ownership by nonce, loans by max-min fair share with at least one unit per holder with demand, recall, reuse of ended loans only on a report taken after their end or a return), Holder (starts only on an unexpired loan), TargetSide (fencing, wait before a change of owner, refusal beyond its capacity), msgpack codec, and a virtual network for history tests.

Decisions: identities of owners and holders are unique for each start of a process, so a restarted entry VM counts as another one.

--- /dev/null
+++ b/src/libs/lending/fair_share.cc
@@ -0,0 +1,29 @@
+#include "lending/fair_share.h"
+
+#include <algorithm>
+
+namespace mangoroad::lending {
+
+std::vector<std::int32_t> FairShares(std::int32_t capacity, const std::vector<std::int32_t>& demand,
+                                     std::size_t first) {
+  std::vector<std::int32_t> shares(demand.size(), 0);
+  const auto unsatisfied = [&](std::size_t i) { return shares[i] < demand[i]; };
+  std::vector<std::size_t> open;
+  for (std::size_t k = 0; k < demand.size(); ++k) {
+    const std::size_t i = (first + k) % demand.size();
+    if (unsatisfied(i)) open.push_back(i);
+  }
+  while (capacity > 0 && !open.empty()) {
+    const auto count = static_cast<std::int32_t>(open.size());
+    const std::int32_t each = std::max(1, capacity / count);
+    for (const std::size_t i : open) {
+      const std::int32_t given = std::min({each, demand[i] - shares[i], capacity});
+      shares[i] += given;
+      capacity -= given;
+    }
+    std::erase_if(open, [&](std::size_t i) { return !unsatisfied(i); });
+  }
+  return shares;
+}
+
+}  // namespace mangoroad::lending
--- /dev/null
+++ b/src/libs/lending/lending_codec.cc
@@ -0,0 +1,156 @@
+#include "lending/lending_codec.h"
+
+#include <msgpack.hpp>
+
+namespace mangoroad::lending {
+namespace {
+
+constexpr int kFormatVersion = 1;
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+void Pack(Packer& packer, Amount amount) {
+  packer.pack(amount.slots);
+  packer.pack(amount.connections);
+}
+
+void Pack(Packer& packer, Fence fence) {
+  packer.pack(fence.incarnation);
+  packer.pack(fence.epoch);
+}
+
+void PackItem(Packer& packer, const BorrowItem& item) {
+  packer.pack_array(8);
+  packer.pack(item.target);
+  Pack(packer, item.fence);
+  packer.pack(item.adopted);
+  Pack(packer, item.wanted);
+  Pack(packer, item.held);
+}
+
+void PackItem(Packer& packer, const LendItem& item) {
+  packer.pack_array(7);
+  packer.pack(item.target);
+  Pack(packer, item.fence);
+  packer.pack(item.loan);
+  Pack(packer, item.amount);
+  packer.pack(item.length.count());
+}
+
+template <typename Message>
+std::string EncodeAs(const std::string& owner, const std::string& holder, std::uint64_t number,
+                     const Message& message) {
+  msgpack::sbuffer buffer;
+  Packer packer(buffer);
+  packer.pack_array(5);
+  packer.pack(kFormatVersion);
+  packer.pack(owner);
+  packer.pack(holder);
+  packer.pack(number);
+  packer.pack_array(static_cast<std::uint32_t>(message.items.size()));
+  for (const auto& item : message.items) PackItem(packer, item);
+  return {buffer.data(), buffer.size()};
+}
+
+// Reads the elements of one array in order. msgpack reports a wrong type or a missing element by
+// an exception, which DecodeAs turns into an error.
+class Reader {
+ public:
+  Reader(const msgpack::object& object, std::uint32_t size) : array(object) {
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != size) {
+      throw msgpack::type_error();
+    }
+  }
+
+  template <typename Value>
+  Value Next() {
+    return this->array.via.array.ptr[this->position++].as<Value>();
+  }
+  Amount NextAmount() {
+    const auto slots = this->Next<std::int32_t>();
+    return {slots, this->Next<std::int32_t>()};
+  }
+  Fence NextFence() {
+    const auto incarnation = this->Next<std::uint64_t>();
+    return {incarnation, this->Next<std::uint64_t>()};
+  }
+  const msgpack::object& NextArray() {
+    const msgpack::object& element = this->array.via.array.ptr[this->position++];
+    if (element.type != msgpack::type::ARRAY) throw msgpack::type_error();
+    return element;
+  }
+
+ private:
+  const msgpack::object& array;
+  std::uint32_t position = 0;
+};
+
+void ReadItem(const msgpack::object& object, BorrowItem& item) {
+  Reader reader(object, 8);
+  item.target = reader.Next<std::string>();
+  item.fence = reader.NextFence();
+  item.adopted = reader.Next<std::uint64_t>();
+  item.wanted = reader.NextAmount();
+  item.held = reader.NextAmount();
+}
+
+void ReadItem(const msgpack::object& object, LendItem& item) {
+  Reader reader(object, 7);
+  item.target = reader.Next<std::string>();
+  item.fence = reader.NextFence();
+  item.loan = reader.Next<std::uint64_t>();
+  item.amount = reader.NextAmount();
+  item.length = base::Duration(reader.Next<base::Duration::rep>());
+}
+
+template <typename Message>
+base::Result<Message, CodecError> DecodeAs(std::string_view bytes, std::string Message::* owner,
+                                           std::string Message::* holder,
+                                           std::uint64_t Message::* number) {
+  try {
+    std::size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    if (offset != bytes.size()) {
+      return CodecError{CodecErrorKind::kMalformed,
+                        std::to_string(bytes.size() - offset) + " bytes after the message"};
+    }
+    Reader reader(handle.get(), 5);
+    const int version = reader.Next<int>();
+    if (version != kFormatVersion) {
+      return CodecError{CodecErrorKind::kUnknownVersion,
+                        "format version " + std::to_string(version)};
+    }
+    Message message;
+    message.*owner = reader.Next<std::string>();
+    message.*holder = reader.Next<std::string>();
+    message.*number = reader.Next<std::uint64_t>();
+    const msgpack::object& items = reader.NextArray();
+    message.items.resize(items.via.array.size);
+    for (std::uint32_t i = 0; i < items.via.array.size; ++i) {
+      ReadItem(items.via.array.ptr[i], message.items[i]);
+    }
+    return message;
+  } catch (const std::exception& failure) {
+    return CodecError{CodecErrorKind::kMalformed, failure.what()};
+  }
+}
+
+}  // namespace
+
+std::string Encode(const Borrow& message) {
+  return EncodeAs(message.owner, message.holder, message.number, message);
+}
+
+std::string Encode(const Lend& message) {
+  return EncodeAs(message.owner, message.holder, message.answers, message);
+}
+
+base::Result<Borrow, CodecError> DecodeBorrow(std::string_view bytes) {
+  return DecodeAs(bytes, &Borrow::owner, &Borrow::holder, &Borrow::number);
+}
+
+base::Result<Lend, CodecError> DecodeLend(std::string_view bytes) {
+  return DecodeAs(bytes, &Lend::owner, &Lend::holder, &Lend::answers);
+}
+
+}  // namespace mangoroad::lending
