Add the storage and consensus modules

Cause: table, jobs and views need one replicated log that survives crashes, torn writes and partitions.

--- /dev/null
+++ b/src/libs/consensus/progress.h
@@ -0,0 +1,60 @@
+// What a leader knows of one other replica.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "base/time.h"
+#include "consensus/messages.h"
+
+namespace mangoroad::consensus::internal {
+
+enum class ProgressState {
+  kProbe,      ///< One message at a time until the logs are known to agree.
+  kReplicate,  ///< Messages are sent without waiting for answers, up to a limit.
+  kSnapshot,   ///< The needed entries are gone; a snapshot is sent in chunks.
+};
+
+class Progress {
+ public:
+  explicit Progress(Index next_index) : next(next_index) {}
+
+  /// Forgets what was known, because the replica restarted.
+  void Restart(std::uint64_t new_incarnation, Index next_index);
+  void BecomeProbe(Index next_index);
+  void BecomeSnapshot(std::shared_ptr<const Snapshot> to_send);
+  /// Entries up to `last` with `bytes` of cost were sent.
+  void OnSent(Index last, std::size_t bytes);
+  /// The replica has all entries up to `index`.
+  void OnAccepted(Index index, bool is_durable);
+
+  ProgressState state = ProgressState::kProbe;
+  Index match = 0;
+  /// As `match`, but on the replica's disk; only this counts for the majority.
+  Index durable_match = 0;
+  Index next;
+  /// The last commit index that was sent.
+  Index sent_commit = 0;
+  bool durable = false;
+  std::uint64_t incarnation = 0;
+  /// Latest time on the leader's clock at which a message was sent that the replica has answered.
+  std::optional<base::TimePoint> acknowledged_send;
+  base::TimePoint last_heard;
+  bool heartbeat_due = true;
+  /// In kProbe: an answer is awaited.
+  bool paused = false;
+  std::size_t inflight_bytes = 0;
+
+  std::shared_ptr<const Snapshot> snapshot;
+  std::uint64_t snapshot_offset = 0;
+  std::optional<base::TimePoint> chunk_sent;
+
+ private:
+  std::deque<std::pair<Index, std::size_t>> inflight;
+};
+
+}  // namespace mangoroad::consensus::internal
--- /dev/null
+++ b/src/libs/storage/msgpack_fields.h
@@ -0,0 +1,93 @@
+// Packs the fields of plain structs as msgpack arrays. Include only in .cc files: msgpack is a
+// heavy header.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "storage/log_types.h"
+
+namespace mangoroad::storage::internal {
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+/// Fields of a log entry in the order of the format.
+template <typename Entry>
+auto EntryFields(Entry& entry) {
+  return std::tie(entry.index, entry.term, entry.kind, entry.data, entry.origin_replica,
+                  entry.origin_incarnation, entry.origin_number);
+}
+
+template <typename Value>
+void PackValue(Packer& packer, const Value& value) {
+  packer.pack(value);
+}
+inline void PackValue(Packer& packer, EntryKind value) {
+  packer.pack(static_cast<std::uint8_t>(value));
+}
+
+void PackValue(Packer& packer, const std::vector<LogEntry>& entries);
+
+template <typename Fields>
+void PackFields(Packer& packer, const Fields& fields) {
+  packer.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<Fields>));
+  std::apply([&](const auto&... field) { (PackValue(packer, field), ...); }, fields);
+}
+
+inline void PackValue(Packer& packer, const std::vector<LogEntry>& entries) {
+  packer.pack_array(static_cast<std::uint32_t>(entries.size()));
+  for (const LogEntry& entry : entries) PackFields(packer, EntryFields(entry));
+}
+
+/// Throws msgpack::type_error, which UnpackBytes turns into false.
+template <typename Value>
+void UnpackValue(const msgpack::object& object, Value& value) {
+  object.convert(value);
+}
+inline void UnpackValue(const msgpack::object& object, EntryKind& value) {
+  const auto number = object.as<std::uint8_t>();
+  if (number > static_cast<std::uint8_t>(EntryKind::kNoop)) throw msgpack::type_error();
+  value = static_cast<EntryKind>(number);
+}
+
+void UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries);
+
+template <typename Fields>
+void UnpackFields(const msgpack::object& object, Fields fields) {
+  if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<Fields>) {
+    throw msgpack::type_error();
+  }
+  const msgpack::object* next = object.via.array.ptr;
+  std::apply([&](auto&... field) { (UnpackValue(*next++, field), ...); }, fields);
+}
+
+inline void UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries) {
+  if (object.type != msgpack::type::ARRAY) throw msgpack::type_error();
+  entries.resize(object.via.array.size);
+  for (std::uint32_t i = 0; i < object.via.array.size; ++i) {
+    UnpackFields(object.via.array.ptr[i], EntryFields(entries[i]));
+  }
+}
+
+/// Calls `read` with the object in `bytes`; false when the bytes are no msgpack object or `read`
+/// throws a msgpack error.
+template <typename Reader>
+bool UnpackBytes(std::string_view bytes, const Reader& read) {
+  try {
+    std::size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    if (offset != bytes.size()) return false;
+    read(handle.get());
+    return true;
+  } catch (const msgpack::type_error&) {
+    return false;
+  } catch (const msgpack::unpack_error&) {
+    return false;
+  }
+}
+
+}  // namespace mangoroad::storage::internal
--- /dev/null
+++ b/src/libs/storage/wal.cc
@@ -0,0 +1,326 @@
+#include "storage/wal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "storage/record_file.h"
+#include "storage/snapshot_file.h"
+#include "storage/wal_codec.h"
+
+namespace mangoroad::storage {
+
+using base::Done;
+using internal::TruncateRecord;
+using internal::WalRecord;
+
+namespace {
+
+constexpr std::string_view kPrefix = "wal-";
+constexpr std::string_view kSuffix = ".log";
+
+struct Segment {
+  std::uint64_t sequence = 0;
+  std::string path;
+  /// Highest index of an entry in the segment.
+  Index last_index = 0;
+};
+
+std::string SegmentPath(const std::string& folder, std::uint64_t sequence) {
+  return fmt::format("{}/{}{:016x}{}", folder, kPrefix, sequence, kSuffix);
+}
+
+std::vector<Segment> SegmentsOf(const std::string& folder, const std::vector<std::string>& names) {
+  std::vector<Segment> segments;
+  for (const std::string& name : names) {
+    if (!name.starts_with(kPrefix) || !name.ends_with(kSuffix)) continue;
+    const char* first = name.data() + kPrefix.size();
+    const char* last = name.data() + name.size() - kSuffix.size();
+    Segment segment;
+    if (std::from_chars(first, last, segment.sequence, 16).ptr != last) continue;
+    segment.path = fmt::format("{}/{}", folder, name);
+    segments.push_back(segment);
+  }
+  return segments;
+}
+
+/// Rebuilds entries and hard state from the records in their order.
+class Replay {
+ public:
+  bool Apply(const WalRecord& record) {
+    return std::visit([this](const auto& value) { return this->Apply(value); }, record);
+  }
+
+  /// Entries after the snapshot, or nothing when some are missing in between.
+  std::optional<std::vector<LogEntry>> EntriesAfter(const std::optional<Snapshot>& snapshot) {
+    const Index base = snapshot ? snapshot->index : 0;
+    const auto at_base = std::ranges::find(this->entries, base, &LogEntry::index);
+    // A log that disagrees with the snapshot was discarded when the snapshot was installed; a
+    // crash came before the record of that.
+    if (snapshot && at_base != this->entries.end() && at_base->term != snapshot->term) {
+      return std::vector<LogEntry>();
+    }
+    std::erase_if(this->entries, [&](const LogEntry& entry) { return entry.index <= base; });
+    if (!this->entries.empty() && this->entries.front().index != base + 1) return std::nullopt;
+    return std::move(this->entries);
+  }
+
+  HardState hard_state;
+  Index last_index = 0;
+
+ private:
+  bool Apply(const LogEntry& entry) {
+    this->Apply(TruncateRecord{entry.index - 1});
+    // A gap may come only after a snapshot that covers all earlier entries.
+    if (!this->entries.empty() && this->entries.back().index + 1 != entry.index) {
+      this->entries.clear();
+    }
+    this->entries.push_back(entry);
+    this->last_index = std::max(this->last_index, entry.index);
+    return entry.index > 0;
+  }
+  bool Apply(const HardState& state) {
+    this->hard_state = state;
+    return true;
+  }
+  bool Apply(const TruncateRecord& record) {
+    while (!this->entries.empty() && this->entries.back().index > record.last_kept) {
+      this->entries.pop_back();
+    }
+    return true;
+  }
+
+  std::vector<LogEntry> entries;
+};
+
+}  // namespace
+
+struct Wal::Private {
+  Private(FileSystem& file_system, std::string folder_path, WalOptions wal_options)
+      : files(file_system), folder(std::move(folder_path)), options(wal_options) {}
+
+  FileSystem& files;
+  std::string folder;
+  WalOptions options;
+  std::vector<Segment> segments;
+  std::unique_ptr<File> file;
+  HardState hard_state;
+  bool failed = false;
+
+  StorageResult<Done> CheckUsable() const {
+    if (!this->failed) return Done{};
+    return StorageError{StorageErrorKind::kFailed,
+                        fmt::format("{}: an earlier sync failed", this->folder)};
+  }
+
+  /// Writes all bytes or none.
+  StorageResult<Done> Write(const std::string& bytes) {
+    MANGOROAD_RETURN_IF_FAILED(this->CheckUsable());
+    const std::uint64_t size = this->file->Size();
+    auto written = this->file->Append(bytes);
+    // A part of a record that can't be cut off would turn later records into damage.
+    if (!base::Ok(written) && !base::Ok(this->file->Truncate(size))) this->failed = true;
+    return written;
+  }
+
+  StorageResult<Done> WriteRecord(const std::string& payload) {
+    std::string bytes;
+    internal::EncodeRecord(bytes, this->segments.back().sequence, payload);
+    return this->Write(bytes);
+  }
+
+  /// Opens a new last segment that starts with the hard state, since older segments may be removed.
+  StorageResult<Done> AddSegment(std::uint64_t sequence) {
+    Segment segment{sequence, SegmentPath(this->folder, sequence), 0};
+    auto opened = this->files.Open(segment.path);
+    if (!base::Ok(opened)) return base::ErrorOf(opened);
+    std::unique_ptr<File> next = std::move(base::ValueOf(opened));
+    std::string bytes = internal::EncodeFileHeader(sequence);
+    internal::EncodeRecord(bytes, sequence, internal::EncodeHardState(this->hard_state));
+    auto written = next->Append(bytes);
+    if (!base::Ok(written)) {
+      this->files.Remove(segment.path);
+      return written;
+    }
+    const auto synced = next->Sync();
+    auto named = base::Ok(synced) ? this->files.SyncFolder(this->folder) : synced;
+    if (!base::Ok(named)) {
+      this->failed = true;
+      return named;
+    }
+    this->segments.push_back(std::move(segment));
+    this->file = std::move(next);
+    return Done{};
+  }
+
+  StorageResult<Done> SyncFile() {
+    MANGOROAD_RETURN_IF_FAILED(this->CheckUsable());
+    const auto synced = this->file->Sync();
+    if (!base::Ok(synced)) this->failed = true;
+    return synced;
+  }
+
+  /// A full disk leaves the old segment in use.
+  StorageResult<Done> RotateIfLarge(std::uint64_t limit) {
+    if (this->file->Size() < limit) return Done{};
+    auto added = this->AddSegment(this->segments.back().sequence + 1);
+    if (!base::Ok(added) && base::ErrorOf(added).kind == StorageErrorKind::kNoSpace) return Done{};
+    return added;
+  }
+
+  StorageResult<Done> RemoveSegmentsCoveredBy(Index index) {
+    while (this->segments.size() > 1 && this->segments.front().last_index <= index) {
+      MANGOROAD_RETURN_IF_FAILED(this->files.Remove(this->segments.front().path));
+      this->segments.erase(this->segments.begin());
+    }
+    return Done{};
+  }
+
+  StorageResult<std::uint64_t> ReadSegments(Replay& replay);
+  StorageResult<Done> PrepareLastSegment(std::uint64_t valid_bytes);
+};
+
+/// Returns the size of the whole records in the last segment; changes nothing.
+StorageResult<std::uint64_t> Wal::Private::ReadSegments(Replay& replay) {
+  std::uint64_t valid_bytes = 0;
+  for (Segment& segment : this->segments) {
+    const bool last = &segment == &this->segments.back();
+    if (&segment != &this->segments.front() && (&segment)[-1].sequence + 1 != segment.sequence) {
+      return StorageError{
+          StorageErrorKind::kDamaged,
+          fmt::format("{} at offset 0: the segment before it is missing", segment.path)};
+    }
+    const auto bytes = this->files.Read(segment.path);
+    if (!base::Ok(bytes)) return base::ErrorOf(bytes);
+    replay.last_index = 0;
+    const auto scanned = internal::ScanRecords(
+        segment.path, base::ValueOf(bytes), segment.sequence, [&](std::string_view payload) {
+          const auto record = internal::DecodeWalRecord(payload);
+          return record && replay.Apply(*record);
+        });
+    if (!base::Ok(scanned)) return base::ErrorOf(scanned);
+    valid_bytes = base::ValueOf(scanned).valid_bytes;
+    if (base::ValueOf(scanned).torn && !last) {
+      return StorageError{
+          StorageErrorKind::kDamaged,
+          fmt::format("{} at offset {}: record is incomplete, but a later segment exists",
+                      segment.path, valid_bytes)};
+    }
+    segment.last_index = replay.last_index;
+  }
+  return valid_bytes;
+}
+
+/// Cuts a torn tail; a segment whose header is torn is written again.
+StorageResult<Done> Wal::Private::PrepareLastSegment(std::uint64_t valid_bytes) {
+  if (this->segments.empty()) return this->AddSegment(1);
+  if (valid_bytes == 0) {
+    const Segment torn = this->segments.back();
+    this->segments.pop_back();
+    MANGOROAD_RETURN_IF_FAILED(this->files.Remove(torn.path));
+    MANGOROAD_RETURN_IF_FAILED(this->files.SyncFolder(this->folder));
+    return this->AddSegment(torn.sequence);
+  }
+  auto opened = this->files.Open(this->segments.back().path);
+  if (!base::Ok(opened)) return base::ErrorOf(opened);
+  this->file = std::move(base::ValueOf(opened));
+  if (this->file->Size() > valid_bytes) {
+    MANGOROAD_RETURN_IF_FAILED(this->file->Truncate(valid_bytes));
+  }
+  // What is read now must not be lost by a later crash, even when no sync came before.
+  return this->SyncFile();
+}
+
+Wal::Wal(std::unique_ptr<Private> parts) : d(std::move(parts)) {}
+Wal::~Wal() = default;
+
+StorageResult<OpenedWal> Wal::Open(FileSystem& files, const std::string& folder,
+                                   WalOptions options) {
+  MANGOROAD_RETURN_IF_FAILED(files.CreateFolder(folder));
+  const auto names = files.List(folder);
+  if (!base::Ok(names)) return base::ErrorOf(names);
+  auto parts = std::make_unique<Private>(files, folder, options);
+  parts->segments = SegmentsOf(folder, base::ValueOf(names));
+
+  auto snapshot = internal::ReadNewestSnapshot(files, folder, base::ValueOf(names));
+  if (!base::Ok(snapshot)) return base::ErrorOf(snapshot);
+  Replay replay;
+  const auto valid_bytes = parts->ReadSegments(replay);
+  if (!base::Ok(valid_bytes)) return base::ErrorOf(valid_bytes);
+  OpenedWal opened;
+  opened.snapshot = std::move(base::ValueOf(snapshot));
+  auto entries = replay.EntriesAfter(opened.snapshot);
+  if (!entries) {
+    return StorageError{StorageErrorKind::kDamaged,
+                        fmt::format("{} at offset 0: entries before the first one are missing",
+                                    parts->segments.front().path)};
+  }
+  opened.entries = std::move(*entries);
+  opened.hard_state = replay.hard_state;
+  parts->hard_state = replay.hard_state;
+
+  for (const std::string& name : base::ValueOf(names)) {
+    if (name.ends_with(internal::kTemporarySuffix)) {
+      MANGOROAD_RETURN_IF_FAILED(files.Remove(fmt::format("{}/{}", folder, name)));
+    }
+  }
+  const std::uint64_t size_before = [&] {
+    if (parts->segments.empty()) return std::uint64_t{0};
+    const auto bytes = files.Read(parts->segments.back().path);
+    return base::Ok(bytes) ? std::uint64_t{base::ValueOf(bytes).size()} : std::uint64_t{0};
+  }();
+  opened.cut_bytes = size_before - base::ValueOf(valid_bytes);
+  MANGOROAD_RETURN_IF_FAILED(parts->PrepareLastSegment(base::ValueOf(valid_bytes)));
+  opened.wal = std::unique_ptr<Wal>(new Wal(std::move(parts)));
+  return opened;
+}
+
+StorageResult<Done> Wal::Append(std::span<const LogEntry> entries) {
+  std::string bytes;
+  const std::uint64_t sequence = this->d->segments.back().sequence;
+  for (const LogEntry& entry : entries) {
+    internal::EncodeRecord(bytes, sequence, internal::EncodeEntry(entry));
+  }
+  MANGOROAD_RETURN_IF_FAILED(this->d->Write(bytes));
+  Index& last_index = this->d->segments.back().last_index;
+  for (const LogEntry& entry : entries) last_index = std::max(last_index, entry.index);
+  return Done{};
+}
+
+StorageResult<Done> Wal::SaveHardState(const HardState& state) {
+  MANGOROAD_RETURN_IF_FAILED(this->d->WriteRecord(internal::EncodeHardState(state)));
+  this->d->hard_state = state;
+  return Done{};
+}
+
+StorageResult<Done> Wal::Truncate(Index last_kept) {
+  return this->d->WriteRecord(internal::EncodeTruncate({last_kept}));
+}
+
+StorageResult<Done> Wal::Sync() {
+  MANGOROAD_RETURN_IF_FAILED(this->d->SyncFile());
+  return this->d->RotateIfLarge(this->d->options.segment_bytes);
+}
+
+StorageResult<Done> Wal::SaveSnapshot(const Snapshot& snapshot) {
+  MANGOROAD_RETURN_IF_FAILED(this->d->CheckUsable());
+  auto written = internal::WriteSnapshot(this->d->files, this->d->folder, snapshot);
+  if (!base::Ok(written)) {
+    this->d->failed = base::ErrorOf(written).kind != StorageErrorKind::kNoSpace;
+    return written;
+  }
+  MANGOROAD_RETURN_IF_FAILED(
+      internal::RemoveSnapshotsBefore(this->d->files, this->d->folder, snapshot.index));
+  // A new segment lets the present one be removed with the next snapshot.
+  MANGOROAD_RETURN_IF_FAILED(this->d->SyncFile());
+  MANGOROAD_RETURN_IF_FAILED(this->d->RotateIfLarge(this->d->options.segment_bytes / 2));
+  return this->d->RemoveSegmentsCoveredBy(snapshot.index);
+}
+
+bool Wal::Failed() const { return this->d->failed; }
+
+std::size_t Wal::SegmentCount() const { return this->d->segments.size(); }
+
+}  // namespace mangoroad::storage
