--- a/src/libs/entry/json_reader.cc
+++ b/src/libs/entry/json_reader.cc
@@ -74,6 +74,16 @@
   return value->get<std::int64_t>();
 }
 
+std::uint64_t JsonReader::Unsigned(std::string_view name, Presence presence) {
+  const nlohmann::json* value = this->d->Take(name, presence);
+  if (value == nullptr) return 0;
+  if (!value->is_number_unsigned()) {
+    this->d->Fault(name, "an unsigned integer", *value);
+    return 0;
+  }
+  return value->get<std::uint64_t>();
+}
+
 double JsonReader::Number(std::string_view name, Presence presence, double low, double high,
                           double fallback) {
   const nlohmann::json* value = this->d->Take(name, presence);
--- a/src/libs/entry/json_reader.h
+++ b/src/libs/entry/json_reader.h
@@ -28,6 +28,8 @@
   std::int64_t Integer(std::string_view name, Presence presence, std::int64_t low = 0,
                        std::int64_t high = std::numeric_limits<std::int64_t>::max(),
                        std::int64_t fallback = 0);
+  /// A number that may use all 64 bits, such as a nonce.
+  std::uint64_t Unsigned(std::string_view name, Presence presence);
   double Number(std::string_view name, Presence presence, double low, double high,
                 double fallback = 0);
   bool Flag(std::string_view name, Presence presence, bool fallback = false);
--- /dev/null
+++ b/src/libs/entry/log_service.cc
@@ -0,0 +1,344 @@
+#include "entry/log_service.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "base/soft_assert.h"
+#include "consensus/consensus_codec.h"
+#include "log/log.h"
+#include "net/event_loop.h"
+#include "storage/file_system.h"
+#include "storage/wal.h"
+
+namespace mangoroad::entry {
+namespace {
+
+constexpr base::Duration kTickInterval = std::chrono::milliseconds(10);
+
+/// Answers of the latest entries, for proposals whose fate is reported after they were applied.
+constexpr consensus::Index kKeptAnswers = 65'536;
+
+}  // namespace
+
+struct LogService::Private {
+  struct Pending {
+    std::string command;  // kept until a leader is known
+    OnProposal done;
+    base::TimePoint started;
+    std::optional<consensus::ProposalId> proposal;
+    std::optional<consensus::RequestNumber> forward;
+  };
+
+  net::EventLoop& loop;
+  storage::FileSystem& files;
+  AppliedState& state;
+  Send send;
+  OnApplied on_applied;
+  std::function<void()> on_restored;
+  LogOptions options;
+  std::unique_ptr<storage::Wal> wal;
+  std::optional<consensus::Replica> replica;
+  std::string storage_fault;
+  consensus::Index applied = 0;
+  consensus::Term applied_term = 0;
+  consensus::Index last_snapshot = 0;
+  std::map<consensus::Index, std::string> answers;
+  std::vector<Pending> pending;
+  bool flush_posted = false;
+  net::Timer tick_timer;
+
+  Private(net::EventLoop& event_loop, storage::FileSystem& file_system, AppliedState& applied_state,
+          Send send_message)
+      : loop(event_loop),
+        files(file_system),
+        state(applied_state),
+        send(std::move(send_message)) {}
+
+  void FailStorage(const storage::StorageError& error);
+  bool Persist(const consensus::Output& output);
+  void ApplyCommitted(const std::vector<consensus::LogEntry>& entries);
+  void Resolve(const consensus::ResolvedProposal& resolved);
+  void Submit(Pending& item);
+  void Finish(Pending item, ProposalResult result);
+  void ExpirePending(base::TimePoint now);
+  void MaybeCompact();
+  void Flush();
+  void ScheduleFlush();
+  void Tick();
+};
+
+void LogService::Private::FailStorage(const storage::StorageError& error) {
+  if (!this->storage_fault.empty()) return;
+  this->storage_fault = error.message;
+  log::Error(log::Category::kStorage, "disk failed, replica stops voting",
+             {{"reason", error.message}});
+  this->replica->OnStorageFailed(this->loop.Now());
+}
+
+/// Stores an output; false after a disk fault.
+bool LogService::Private::Persist(const consensus::Output& output) {
+  if (this->wal == nullptr) return true;
+  if (!this->storage_fault.empty()) return false;
+  const auto store = [&]() -> storage::StorageResult<base::Done> {
+    if (output.snapshot_to_sync != nullptr) {
+      MANGOROAD_RETURN_IF_FAILED(this->wal->SaveSnapshot(*output.snapshot_to_sync));
+    }
+    if (output.truncate_after) {
+      MANGOROAD_RETURN_IF_FAILED(this->wal->Truncate(*output.truncate_after));
+    }
+    if (!output.entries_to_sync.empty()) {
+      MANGOROAD_RETURN_IF_FAILED(this->wal->Append(output.entries_to_sync));
+    }
+    if (output.hard_state) {
+      MANGOROAD_RETURN_IF_FAILED(this->wal->SaveHardState(*output.hard_state));
+    }
+    if (output.sync_id != 0) MANGOROAD_RETURN_IF_FAILED(this->wal->Sync());
+    return base::Done{};
+  };
+  const auto stored = store();
+  if (base::Ok(stored)) return true;
+  this->FailStorage(base::ErrorOf(stored));
+  return false;
+}
+
+void LogService::Private::ApplyCommitted(const std::vector<consensus::LogEntry>& entries) {
+  for (const consensus::LogEntry& entry : entries) {
+    MANGOROAD_INVARIANT(entry.index == this->applied + 1);
+    this->applied = entry.index;
+    this->applied_term = entry.term;
+    if (entry.kind != storage::EntryKind::kCommand) continue;
+    std::string answer = this->state.Apply(entry.index, entry.term, entry.data);
+    if (this->on_applied) this->on_applied(entry.index, entry.data, answer);
+    this->answers[entry.index] = std::move(answer);
+  }
+  while (this->answers.size() > kKeptAnswers) this->answers.erase(this->answers.begin());
+}
+
+void LogService::Private::Finish(Pending item, ProposalResult result) {
+  this->loop.Post([done = std::move(item.done), result = std::move(result)] { done(result); });
+}
+
+void LogService::Private::Resolve(const consensus::ResolvedProposal& resolved) {
+  const auto entry = std::ranges::find_if(this->pending, [&](const Pending& item) {
+    return resolved.forward ? item.forward == resolved.forward : item.proposal == resolved.id;
+  });
+  if (entry == this->pending.end()) return;
+  Pending item = std::move(*entry);
+  this->pending.erase(entry);
+  if (resolved.outcome == consensus::ProposalOutcome::kLost) {
+    if (this->loop.Now() - item.started < kLeaderWait) {
+      // The command is certainly not in the log, so it is safe to propose it again.
+      item.proposal.reset();
+      item.forward.reset();
+      this->pending.push_back(std::move(item));
+      return;
+    }
+    this->Finish(std::move(item), {ProposalFate::kNotAccepted, {}, "the leader changed"});
+    return;
+  }
+  const auto answer = this->answers.find(resolved.id.index);
+  if (resolved.outcome == consensus::ProposalOutcome::kUnknown || answer == this->answers.end()) {
+    this->Finish(std::move(item),
+                 {ProposalFate::kUnknown, {}, "a snapshot replaced the part of the log"});
+    return;
+  }
+  this->Finish(std::move(item), {ProposalFate::kApplied, answer->second, {}});
+}
+
+/// Hands a waiting command to the leader when one is known.
+void LogService::Private::Submit(Pending& item) {
+  const base::TimePoint now = this->loop.Now();
+  if (this->replica->IsLeader()) {
+    const auto proposed = this->replica->Propose(now, item.command);
+    if (base::Ok(proposed)) item.proposal = base::ValueOf(proposed);
+  } else {
+    const auto forwarded = this->replica->Forward(now, item.command);
+    if (base::Ok(forwarded)) item.forward = base::ValueOf(forwarded);
+  }
+}
+
+void LogService::Private::ExpirePending(base::TimePoint now) {
+  std::vector<Pending> kept;
+  for (Pending& item : this->pending) {
+    const bool handed_over = item.proposal || item.forward;
+    if (!handed_over && now - item.started >= kLeaderWait) {
+      this->Finish(std::move(item),
+                   {ProposalFate::kNotAccepted, {}, "no majority of voters can be reached"});
+    } else if (handed_over && now - item.started >= kProposalTime) {
+      this->Finish(std::move(item),
+                   {ProposalFate::kUnknown, {}, "the leader's answer didn't arrive"});
+    } else {
+      if (!handed_over) this->Submit(item);
+      kept.push_back(std::move(item));
+    }
+  }
+  this->pending = std::move(kept);
+}
+
+void LogService::Private::MaybeCompact() {
+  if (this->applied - this->last_snapshot < this->options.snapshot_every) return;
+  this->last_snapshot = this->applied;
+  this->replica->CompactTo(this->applied, this->state.Snapshot());
+}
+
+void LogService::Private::Flush() {
+  this->flush_posted = false;
+  // An output can cause another one, for example a commit after the sync of a single voter.
+  for (int round = 0; round < 8; ++round) {
+    const consensus::Output output = this->replica->TakeOutput();
+    for (const consensus::Message& message : output.messages) {
+      this->send(message.to, consensus::EncodeMessage(message));
+    }
+    if (output.restore_snapshot && output.snapshot_to_sync != nullptr) {
+      MANGOROAD_INVARIANT(this->state.Restore(output.snapshot_to_sync->data));
+      this->applied = output.snapshot_to_sync->index;
+      this->applied_term = output.snapshot_to_sync->term;
+      this->last_snapshot = this->applied;
+      this->answers.clear();
+      if (this->on_restored) this->on_restored();
+    }
+    const bool stored = this->Persist(output);
+    this->ApplyCommitted(output.committed);
+    std::ranges::for_each(output.resolved, [this](const auto& item) { this->Resolve(item); });
+    this->MaybeCompact();
+    if (output.sync_id == 0) break;
+    if (stored) this->replica->OnSynced(this->loop.Now(), output.sync_id);
+  }
+}
+
+/// All proposals and messages of one round of the loop share one sync.
+void LogService::Private::ScheduleFlush() {
+  if (std::exchange(this->flush_posted, true)) return;
+  this->loop.Post([this] { this->Flush(); });
+}
+
+void LogService::Private::Tick() {
+  const base::TimePoint now = this->loop.Now();
+  this->replica->Tick(now);
+  this->ExpirePending(now);
+  this->Flush();
+}
+
+LogService::LogService(net::EventLoop& loop, storage::FileSystem& files, AppliedState& state,
+                       Send send)
+    : d(std::make_unique<Private>(loop, files, state, std::move(send))) {}
+
+LogService::~LogService() = default;
+
+base::Result<base::Done, EntryError> LogService::Open(LogOptions options) {
+  this->d->options = std::move(options);
+  consensus::RestoredState restored;
+  if (this->d->options.folder) {
+    auto opened = storage::Wal::Open(this->d->files, *this->d->options.folder);
+    if (!base::Ok(opened)) {
+      return EntryError{EntryErrorKind::kBadData, base::ErrorOf(opened).message};
+    }
+    storage::OpenedWal& found = base::ValueOf(opened);
+    if (found.cut_bytes > 0) {
+      log::Warning(log::Category::kStorage, "torn tail cut", {{"bytes", found.cut_bytes}});
+    }
+    this->d->wal = std::move(found.wal);
+    restored = {found.hard_state, std::move(found.snapshot), std::move(found.entries)};
+  }
+  if (restored.snapshot) {
+    if (!this->d->state.Restore(restored.snapshot->data)) {
+      return EntryError{EntryErrorKind::kBadData,
+                        "the snapshot in " + *this->d->options.folder + " can't be read"};
+    }
+    this->d->applied = restored.snapshot->index;
+    this->d->applied_term = restored.snapshot->term;
+    this->d->last_snapshot = this->d->applied;
+  }
+  consensus::Config config;
+  config.self = this->d->options.self;
+  config.first_configuration = this->d->options.first_configuration;
+  config.incarnation = this->d->options.incarnation;
+  config.seed = this->d->options.seed;
+  config.durable = this->d->options.folder.has_value();
+  this->d->replica.emplace(std::move(config), std::move(restored), this->d->loop.Now());
+  this->d->tick_timer = this->d->loop.Every(kTickInterval, [this] { this->d->Tick(); });
+  return base::Done{};
+}
+
+void LogService::OnMessage(std::string_view message) {
+  auto decoded = consensus::DecodeMessage(message);
+  if (!decoded) {
+    log::Warning(log::Category::kConsensus, "malformed message refused",
+                 {{"bytes", message.size()}});
+    return;
+  }
+  this->d->replica->Step(this->d->loop.Now(), std::move(*decoded));
+  this->d->ScheduleFlush();
+}
+
+void LogService::Propose(std::string command, OnProposal done) {
+  Private::Pending item;
+  item.command = std::move(command);
+  item.done = std::move(done);
+  item.started = this->d->loop.Now();
+  this->d->Submit(item);
+  this->d->pending.push_back(std::move(item));
+  this->d->ScheduleFlush();
+}
+
+void LogService::SetOnApplied(OnApplied callback) { this->d->on_applied = std::move(callback); }
+
+void LogService::SetOnRestored(std::function<void()> callback) {
+  this->d->on_restored = std::move(callback);
+}
+
+bool LogService::MayLead() const {
+  if (!this->d->replica->IsLeader()) return false;
+  return this->d->replica->HasLeaderLease(this->d->loop.Now()) &&
+         this->d->applied_term == this->d->replica->GetStatus().term;
+}
+
+consensus::Status LogService::Status() const { return this->d->replica->GetStatus(); }
+
+consensus::Index LogService::Applied() const { return this->d->applied; }
+
+bool LogService::Durable() const {
+  return this->d->wal != nullptr && this->d->storage_fault.empty();
+}
+
+std::string LogService::StorageFault() const { return this->d->storage_fault; }
+
+namespace {
+
+base::Result<base::Done, std::string> ToResult(
+    const base::Result<consensus::ProposalId, consensus::ProposeError>& result) {
+  if (base::Ok(result)) return base::Done{};
+  return base::ErrorOf(result).message;
+}
+
+}  // namespace
+
+base::Result<base::Done, std::string> LogService::AddLearner(const consensus::ReplicaId& id) {
+  this->d->ScheduleFlush();
+  return ToResult(this->d->replica->AddLearner(this->d->loop.Now(), id));
+}
+
+base::Result<base::Done, std::string> LogService::Promote(const consensus::ReplicaId& id) {
+  this->d->ScheduleFlush();
+  return ToResult(this->d->replica->Promote(this->d->loop.Now(), id));
+}
+
+base::Result<base::Done, std::string> LogService::Remove(const consensus::ReplicaId& id) {
+  this->d->ScheduleFlush();
+  return ToResult(this->d->replica->Remove(this->d->loop.Now(), id));
+}
+
+void LogService::TransferLeadership() {
+  if (!this->d->replica->IsLeader()) return;
+  // Without another voter there is nobody to hand over to, and the stop goes on.
+  const auto transferred = this->d->replica->TransferLeadership(this->d->loop.Now(), {});
+  if (!base::Ok(transferred)) {
+    log::Info(log::Category::kConsensus, "leadership not transferred",
+              {{"reason", base::ErrorOf(transferred).message}});
+  }
+  this->d->ScheduleFlush();
+}
+
+}  // namespace mangoroad::entry
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -76,6 +76,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(ReadClock(CLOCK_REALTIME)).count();
 }
 
+std::uint64_t EventLoop::RandomBits() const {
+  std::uint64_t bits = 0;
+  evutil_secure_rng_get_bytes(&bits, sizeof(bits));
+  return bits;
+}
+
 Timer EventLoop::After(base::Duration delay, Callback callback) {
   Timer timer;
   timer.d = std::make_unique<Timer::Private>();
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -43,6 +43,9 @@
   /// Wall clock, only for labels of records.
   [[nodiscard]] base::WallMilliseconds WallNow() const;
 
+  /// Random bits from the operating system, for identities and nonces.
+  [[nodiscard]] std::uint64_t RandomBits() const;
+
   /// Calls `callback` once after `delay`.
   [[nodiscard]] Timer After(base::Duration delay, Callback callback);
   /// Calls `callback` every `interval` until the handle is destroyed.
