--- a/src/libs/settings/options.cc
+++ b/src/libs/settings/options.cc
@@ -1,6 +1,5 @@
 #include "settings/options.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -18,20 +17,14 @@
 constexpr std::uint64_t kMaxBodyBytes = 1U << 20U;
 
 template <typename Number>
-std::optional<Number> ReadNumber(std::string_view text) {
+std::string ReadBounded(std::string_view text, Number low, Number high, Number& target) {
   Number number{};
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return number;
-}
-
-template <typename Number>
-std::string ReadBounded(std::string_view text, Number low, Number high, Number& target) {
-  const auto number = ReadNumber<Number>(text);
-  if (!number || *number < low || *number > high) {
+  const bool is_number = error == std::errc() && end == text.data() + text.size();
+  if (!is_number || number < low || number > high) {
     return fmt::format("'{}' is not a whole number from {} to {}", text, low, high);
   }
-  target = *number;
+  target = number;
   return {};
 }
 
@@ -64,20 +57,9 @@
 }
 
 std::string ReadEndpoint(std::string_view text, Endpoint& target) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return fmt::format("'{}' is not IP:PORT", text);
-  std::string ip(text.substr(0, colon));
-  const auto port = ReadNumber<std::uint16_t>(text.substr(colon + 1));
-  const bool is_bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
-  if (is_bracketed) ip = ip.substr(1, ip.size() - 2);
-  std::array<unsigned char, sizeof(in6_addr)> binary{};
-  if (inet_pton(is_bracketed ? AF_INET6 : AF_INET, ip.c_str(), binary.data()) != 1) {
-    return fmt::format("'{}' is not IP:PORT: '{}' is no IP address", text, ip);
-  }
-  if (!port || *port == 0) {
-    return fmt::format("'{}' is not IP:PORT: the port is not from 1 to 65535", text);
-  }
-  target = {std::move(ip), *port};
+  auto endpoint = ParseEndpoint(text);
+  if (!base::Ok(endpoint)) return base::ErrorOf(endpoint);
+  target = std::move(base::ValueOf(endpoint));
   return {};
 }
 
--- a/src/libs/settings/settings.cc
+++ b/src/libs/settings/settings.cc
@@ -82,11 +82,6 @@
 
 }  // namespace
 
-std::string Endpoint::Text() const {
-  return this->ip.find(':') == std::string::npos ? fmt::format("{}:{}", this->ip, this->port)
-                                                 : fmt::format("[{}]:{}", this->ip, this->port);
-}
-
 base::Result<Settings, Stop> Parse(int argc, const char* const* argv) {
   CLI::App app("Entry VM of mangoroad: routes live requests and schedules batch jobs.",
                "mangoroadd");
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/result.h"
@@ -36,6 +37,9 @@
   bool operator==(const Endpoint&) const = default;
 };
 
+/// Reads `IPV4:PORT` or `[IPV6]:PORT`; the error says what is wrong with the text.
+base::Result<Endpoint, std::string> ParseEndpoint(std::string_view text);
+
 /// Another entry VM.
 struct Peer {
   std::string name;
