Add the placement module: index, fair share, urgent band, evictions

Change: Scheduler joins a grid index by free amounts, a weighted fair queue of teams, rows and lanes, clearing plans (urgent, reclaim, drain), backoffs that tell failing targets from failing rows and jobs, a latency guard, and policies for sharing from none to the learned model. LeaseKeeper repeats orders that are in the log with each reply.

--- a/src/libs/interference/interference.cc
+++ b/src/libs/interference/interference.cc
@@ -174,6 +174,19 @@
   return {slowdown.value * scale, slowdown.doubt * scale};
 }
 
+Estimate Interference::PredictWorstLatencyUse(TimePoint now, std::string_view target,
+                                              std::span<const Neighbour> neighbours,
+                                              double load) const {
+  Estimate worst;
+  const TargetRecord* record = this->d->Find(target);
+  if (record == nullptr) return worst;
+  for (const auto& [kind, report] : record->services) {
+    const Estimate use = this->PredictLatencyUse(now, target, kind, neighbours, load);
+    if (use.value > worst.value) worst = use;
+  }
+  return worst;
+}
+
 ServiceState Interference::ServicesOf(TimePoint now, std::string_view target) const {
   ServiceState state;
   const TargetRecord* record = this->d->Find(target);
--- a/src/libs/interference/interference.h
+++ b/src/libs/interference/interference.h
@@ -82,6 +82,10 @@
   Estimate PredictLatencyUse(base::TimePoint now, std::string_view target, KindId service,
                              std::span<const Neighbour> neighbours, double load) const;
 
+  /// The largest PredictLatencyUse() over the services that the target reported; 0 without any.
+  Estimate PredictWorstLatencyUse(base::TimePoint now, std::string_view target,
+                                  std::span<const Neighbour> neighbours, double load) const;
+
   ServiceState ServicesOf(base::TimePoint now, std::string_view target) const;
 
   /// True when a placement with a doubtful outcome may be made on this target. It is refused where
--- a/src/libs/jobs/lease_keeper.cc
+++ b/src/libs/jobs/lease_keeper.cc
@@ -15,6 +15,13 @@
 using base::Duration;
 using base::TimePoint;
 
+// Orders that are in the log are repeated with each reply, since a reply can be lost.
+std::optional<TaskAction> OrderedIn(JobState state) {
+  if (state == JobState::kStopping) return TaskAction::kStop;
+  if (state == JobState::kCheckpointing) return TaskAction::kCheckpoint;
+  return std::nullopt;
+}
+
 // A proposal that isn't applied after this time was lost with its leader or by overload.
 constexpr Duration kProposeAgainAfter = std::chrono::seconds(1);
 
@@ -111,6 +118,9 @@
     }
     lease->end = this->EndAfter(now, lease->length);
     decision.reply.renewals.push_back({task.job, task.token, lease->length});
+    if (const auto order = OrderedIn(lease->state)) {
+      decision.reply.orders.push_back({task.job, task.token, *order});
+    }
     if (lease->state == JobState::kStarting) {
       decision.changes.emplace_back(JobRunning{task.job, task.token});
     }
--- a/src/libs/jobs/lease_keeper.h
+++ b/src/libs/jobs/lease_keeper.h
@@ -28,7 +28,8 @@
 struct ReportDecision {
   /// False for an old, repeated or reordered report; then the rest is empty and no reply is sent.
   bool accepted = false;
-  /// Renewals, stops of tasks that have no lease, and acknowledgements. The leader may add orders.
+  /// Renewals, stops of tasks that have no lease, the orders that are in the log, and
+  /// acknowledgements. The leader may add orders that aren't logged, such as throttling.
   ReportReply reply{};
   /// What the report says and the log doesn't have yet, to be proposed. The same changes come again
   /// with each report until OnApplied() or Acknowledge(), so a lost proposal does no harm.
--- a/src/libs/jobs/target_tasks.cc
+++ b/src/libs/jobs/target_tasks.cc
@@ -18,6 +18,9 @@
   StartTask start;
   TimePoint lease_end{};
   bool lease_lost = false;
+  /// The leader repeats orders until it sees their effect; the process gets each once.
+  bool stop_ordered = false;
+  bool checkpoint_ordered = false;
   TaskReport report{};
 };
 
@@ -183,7 +186,12 @@
 
 bool TargetTasks::Order(TimePoint now, const TaskOrder& order) {
   this->d->AdvanceTo(now);
-  if (this->d->Running(order.job, order.token) == nullptr) return false;
+  Task* task = this->d->Running(order.job, order.token);
+  if (task == nullptr) return false;
+  if (order.action == TaskAction::kStop && std::exchange(task->stop_ordered, true)) return true;
+  if (order.action == TaskAction::kCheckpoint && std::exchange(task->checkpoint_ordered, true)) {
+    return true;
+  }
   this->d->commands.push_back({order.job, order.token, order.action});
   return true;
 }
@@ -204,6 +212,7 @@
   Task* task = this->d->Running(job, token);
   if (task == nullptr || number <= task->report.checkpoint) return false;
   task->report.checkpoint = number;
+  task->checkpoint_ordered = false;
   return true;
 }
 
--- /dev/null
+++ b/src/libs/placement/eviction.cc
@@ -0,0 +1,83 @@
+#include "placement/eviction.h"
+
+#include <algorithm>
+
+namespace mangoroad::placement::internal {
+namespace {
+
+// What a task loses even if it writes a checkpoint before its stop, and the effort of a restart.
+constexpr double kRestartSeconds = 5;
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+bool IsNearlyFinished(const Task& task, double running_s, const SchedulerSettings& settings) {
+  if (task.progress >= settings.nearly_finished) return true;
+  // Measured progress tells the remaining time better than the declared run time.
+  if (task.progress > 0.1) {
+    return running_s * (1 - task.progress) / task.progress < settings.nearly_finished_s;
+  }
+  const double remaining_s = task.request.run_time_s - running_s;
+  return remaining_s > 0 && remaining_s < settings.nearly_finished_s;
+}
+
+// Part of `missing` that `reserved` frees, by the scarcest amount.
+double Freed(const Resources& reserved, const Resources& missing) {
+  const auto part = [](std::int64_t freed, std::int64_t wanted) {
+    return wanted <= 0 ? 0.0 : static_cast<double>(freed) / static_cast<double>(wanted);
+  };
+  return std::min(1.0, std::max({part(reserved.millicores, missing.millicores),
+                                 part(reserved.memory_mib, missing.memory_mib),
+                                 part(reserved.accelerators, missing.accelerators)}));
+}
+
+bool IsEnough(const Resources& missing) {
+  return missing.millicores <= 0 && missing.memory_mib <= 0 && missing.accelerators <= 0;
+}
+
+}  // namespace
+
+std::optional<double> EvictionCost(const Task& task, const RowSpec& row, base::TimePoint now,
+                                   const SchedulerSettings& settings, bool for_urgent) {
+  // Without a token the start isn't logged yet, so nothing can be ordered.
+  if (task.request.urgent || task.stopping || task.token == 0) return std::nullopt;
+  const double running_s = Seconds(now - task.started);
+  if (IsNearlyFinished(task, running_s, settings)) return std::nullopt;
+  const bool often = task.request.evictions >= settings.max_evictions;
+  const bool fresh = now - task.started < settings.min_run;
+  if (!for_urgent && (often || fresh)) return std::nullopt;
+  const double cores = static_cast<double>(task.request.reserve.millicores) / 1000;
+  const double lost_s = task.request.checkpointable ? kRestartSeconds : kRestartSeconds + running_s;
+  const double evictions = 1 + static_cast<double>(task.request.evictions);
+  const double penalty = often || fresh ? 10 : 1;
+  return cores * lost_s * row.weight * evictions * evictions * penalty;
+}
+
+std::optional<VictimSet> ChooseVictims(std::vector<Victim> victims, const Resources& missing) {
+  Resources left = missing;
+  std::vector<Victim> chosen;
+  while (!IsEnough(left)) {
+    const auto best = std::ranges::max_element(victims, {}, [&](const Victim& victim) {
+      return Freed(victim.reserved, left) / (victim.cost + 1);
+    });
+    if (best == victims.end() || Freed(best->reserved, left) <= 0) return std::nullopt;
+    left -= best->reserved;
+    chosen.push_back(*best);
+    victims.erase(best);
+  }
+  // A later, larger victim may make an earlier one unnecessary.
+  std::ranges::sort(chosen, std::greater<>(), &Victim::cost);
+  VictimSet set;
+  for (const Victim& victim : chosen) {
+    Resources without = left;
+    without += victim.reserved;
+    if (IsEnough(without)) {
+      left = without;
+      continue;
+    }
+    set.jobs.push_back(victim.job);
+    set.cost += victim.cost;
+  }
+  return set;
+}
+
+}  // namespace mangoroad::placement::internal
--- /dev/null
+++ b/src/libs/placement/fair_queue.cc
@@ -0,0 +1,268 @@
+#include "placement/fair_queue.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <limits>
+
+namespace mangoroad::placement::internal {
+namespace {
+
+using base::TimePoint;
+
+// Run times are compared with at least this, so that unknown ones aren't always first.
+constexpr double kMinRunTime = 1;
+
+// Share of a team without quota counts against one core.
+constexpr double kNoQuotaMillicores = 1000;
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+double RunTimeOf(const PendingJob& job) { return std::max(kMinRunTime, job.run_time_s); }
+
+// Class of sizes that are within a factor of 1.19 of each other.
+int SizeClass(std::int64_t amount) {
+  if (amount <= 0) return 0;
+  return 1 + static_cast<int>(std::floor(4 * std::log2(static_cast<double>(amount))));
+}
+
+}  // namespace
+
+TeamNumber FairQueue::TeamNumberOf(std::string_view name) {
+  const auto next = static_cast<TeamNumber>(this->teams.size());
+  const auto [number, added] = this->team_numbers.try_emplace(std::string(name), next);
+  if (added) this->teams.push_back({.name = std::string(name)});
+  return number->second;
+}
+
+RowNumber FairQueue::NumberOf(std::string_view name) {
+  const auto next = static_cast<RowNumber>(this->rows.size());
+  const auto [number, added] = this->row_numbers.try_emplace(std::string(name), next);
+  if (added) {
+    const TeamNumber team = this->TeamNumberOf("");
+    this->rows.emplace_back();
+    this->rows.back().spec.name = name;
+    this->rows.back().team = team;
+    this->teams.at(team).rows.push_back(number->second);
+  }
+  return number->second;
+}
+
+std::vector<PendingJob> FairQueue::TakeAll(RowQueue& row) {
+  std::vector<PendingJob> taken;
+  for (const auto& [key, lane] : row.lanes) {
+    for (const WaitingJob& job : lane.jobs) taken.push_back(job.request);
+  }
+  for (const PendingJob& job : taken) this->Remove(job.job);
+  return taken;
+}
+
+std::vector<PendingJob> FairQueue::SetRows(const std::vector<RowSpec>& row_specs,
+                                           const std::vector<TeamSpec>& team_specs) {
+  for (RowQueue& row : this->rows) row.in_table = false;
+  for (TeamQueue& team : this->teams) team.quota_millicores = 0;
+  for (const TeamSpec& spec : team_specs) {
+    this->teams.at(this->TeamNumberOf(spec.name)).quota_millicores = spec.quota_millicores;
+  }
+  for (const RowSpec& spec : row_specs) {
+    RowQueue& row = this->rows.at(this->NumberOf(spec.name));
+    row.in_table = true;
+    row.spec = spec;
+    row.spec.weight = std::max(1U, spec.weight);
+    row.team = this->TeamNumberOf(spec.team);
+  }
+  for (TeamQueue& team : this->teams) {
+    team.rows.clear();
+    team.reserved = 0;
+    team.waiting = 0;
+  }
+  // Rows that left the table keep their team, so that their running tasks still count.
+  for (RowNumber number = 0; number < this->rows.size(); ++number) {
+    TeamQueue& team = this->teams.at(this->rows.at(number).team);
+    team.rows.push_back(number);
+    team.waiting += this->rows.at(number).waiting;
+    team.reserved += this->rows.at(number).reserved;
+  }
+  std::vector<PendingJob> orphaned;
+  for (RowQueue& row : this->rows) {
+    if (row.in_table) continue;
+    const std::vector<PendingJob> taken = this->TakeAll(row);
+    orphaned.insert(orphaned.end(), taken.begin(), taken.end());
+  }
+  return orphaned;
+}
+
+std::optional<RowNumber> FairQueue::FindRow(std::string_view name) const {
+  const auto number = this->row_numbers.find(std::string(name));
+  if (number == this->row_numbers.end() || !this->rows.at(number->second).in_table) {
+    return std::nullopt;
+  }
+  return number->second;
+}
+
+void FairQueue::Push(TimePoint now, const PendingJob& job, RowNumber number) {
+  RowQueue& row = this->rows.at(number);
+  TeamQueue& team = this->teams.at(row.team);
+  if (row.waiting == 0) {
+    // A row that comes back gets its share from now on, not for the time without work.
+    double least = std::numeric_limits<double>::infinity();
+    for (const RowNumber other : team.rows) {
+      if (this->rows.at(other).waiting > 0) least = std::min(least, this->rows.at(other).pass);
+    }
+    if (std::isfinite(least)) row.pass = std::max(row.pass, least);
+  }
+  const LaneKey key{job.urgent, static_cast<int>(std::log2(RunTimeOf(job))),
+                    SizeClass(job.reserve.millicores), SizeClass(job.reserve.memory_mib),
+                    job.reserve.accelerators};
+  Lane& lane = row.lanes[key];
+  // Evicted work goes first in its lane: it has waited before.
+  const auto position = job.evictions > 0 ? lane.jobs.begin() : lane.jobs.end();
+  const TimePoint since =
+      lane.jobs.empty() || job.evictions == 0 ? now : std::min(now, lane.jobs.front().since);
+  const auto inserted = lane.jobs.insert(position, {job, number, since});
+  this->places.insert_or_assign(job.job, Place{number, key, inserted});
+  ++row.waiting;
+  ++team.waiting;
+  if (job.urgent) {
+    ++row.urgent_waiting;
+    ++this->urgent_waiting;
+  }
+}
+
+std::optional<WaitingJob> FairQueue::Remove(JobId job) {
+  const auto place = this->places.find(job);
+  if (place == this->places.end()) return std::nullopt;
+  RowQueue& row = this->rows.at(place->second.row);
+  const auto lane = row.lanes.find(place->second.lane);
+  WaitingJob removed = std::move(*place->second.job);
+  lane->second.jobs.erase(place->second.job);
+  if (lane->second.jobs.empty()) row.lanes.erase(lane);
+  this->places.erase(place);
+  --row.waiting;
+  --this->teams.at(row.team).waiting;
+  if (removed.request.urgent) {
+    --row.urgent_waiting;
+    --this->urgent_waiting;
+  }
+  return removed;
+}
+
+WaitingJob* FairQueue::Find(JobId job) {
+  const auto place = this->places.find(job);
+  return place == this->places.end() ? nullptr : &*place->second.job;
+}
+
+const WaitingJob* FairQueue::Find(JobId job) const {
+  const auto place = this->places.find(job);
+  return place == this->places.end() ? nullptr : &*place->second.job;
+}
+
+bool FairQueue::MayStart(TimePoint now, RowQueue& row) const {
+  if (now < row.blocked_until) return false;
+  if (row.spec.limit_inflight > 0 && row.inflight >= row.spec.limit_inflight) return false;
+  if (row.spec.limit_rate <= 0) return true;
+  const double most = std::max(1.0, row.spec.limit_rate);
+  row.rate_tokens =
+      std::min(most, row.rate_tokens + row.spec.limit_rate * Seconds(now - row.rate_updated));
+  row.rate_updated = now;
+  return row.rate_tokens >= 1;
+}
+
+FairQueue::Choice FairQueue::BestLane(TimePoint now, std::uint64_t epoch, RowQueue& row,
+                                      bool urgent) const {
+  Choice best;
+  for (auto& [key, lane] : row.lanes) {
+    if (std::get<0>(key) != urgent || lane.IsBlocked(now, epoch)) continue;
+    const WaitingJob& head = lane.jobs.front();
+    const double ratio = 1 + Seconds(now - head.since) / RunTimeOf(head.request);
+    if (best.lane == nullptr || ratio > best.ratio) best = {&lane, ratio};
+  }
+  return best;
+}
+
+std::optional<JobId> FairQueue::NextUrgent(TimePoint now, std::uint64_t epoch) {
+  const WaitingJob* oldest = nullptr;
+  for (RowQueue& row : this->rows) {
+    if (row.urgent_waiting == 0 || !this->MayStart(now, row)) continue;
+    for (auto& [key, lane] : row.lanes) {
+      if (!std::get<0>(key) || lane.IsBlocked(now, epoch)) continue;
+      const WaitingJob& head = lane.jobs.front();
+      if (oldest == nullptr || head.since < oldest->since) oldest = &head;
+    }
+  }
+  if (oldest == nullptr) return std::nullopt;
+  return oldest->request.job;
+}
+
+std::optional<JobId> FairQueue::NextOf(TimePoint now, std::uint64_t epoch, const TeamQueue& team) {
+  Lane* chosen = nullptr;
+  double least = 0;
+  for (const RowNumber number : team.rows) {
+    RowQueue& row = this->rows.at(number);
+    if (row.waiting == row.urgent_waiting || (chosen != nullptr && row.pass >= least)) continue;
+    if (!this->MayStart(now, row)) continue;
+    const Choice choice = this->BestLane(now, epoch, row, false);
+    if (choice.lane == nullptr) continue;
+    chosen = choice.lane;
+    least = row.pass;
+  }
+  if (chosen == nullptr) return std::nullopt;
+  return chosen->jobs.front().request.job;
+}
+
+std::optional<JobId> FairQueue::Next(TimePoint now, std::uint64_t epoch) {
+  if (this->urgent_waiting > 0) {
+    if (const auto urgent = this->NextUrgent(now, epoch)) return urgent;
+  }
+  // Most often the first team has a job to try, so the others aren't sorted.
+  this->order.clear();
+  for (TeamNumber number = 0; number < this->teams.size(); ++number) {
+    if (this->teams.at(number).waiting > 0) this->order.emplace_back(this->ShareOf(number), number);
+  }
+  std::ranges::make_heap(this->order, std::greater<>());
+  while (!this->order.empty()) {
+    std::ranges::pop_heap(this->order, std::greater<>());
+    const TeamNumber number = this->order.back().second;
+    this->order.pop_back();
+    if (const auto job = this->NextOf(now, epoch, this->teams.at(number))) return job;
+  }
+  return std::nullopt;
+}
+
+void FairQueue::Block(JobId job, std::uint64_t epoch, TimePoint until) {
+  const auto place = this->places.find(job);
+  if (place == this->places.end()) return;
+  Lane& lane = this->rows.at(place->second.row).lanes.at(place->second.lane);
+  lane.blocked_epoch = epoch;
+  lane.blocked_until = until;
+}
+
+void FairQueue::BlockRow(RowNumber row, TimePoint until) {
+  this->rows.at(row).blocked_until = until;
+}
+
+void FairQueue::OnReserved(RowNumber number, const PendingJob& job, bool count_start) {
+  RowQueue& row = this->rows.at(number);
+  ++row.inflight;
+  row.reserved += job.reserve.millicores;
+  this->teams.at(row.team).reserved += job.reserve.millicores;
+  if (!count_start) return;
+  row.rate_tokens -= 1;
+  row.pass += static_cast<double>(job.reserve.millicores) * RunTimeOf(job) / row.spec.weight;
+}
+
+void FairQueue::OnReleased(RowNumber number, const PendingJob& job) {
+  RowQueue& row = this->rows.at(number);
+  --row.inflight;
+  row.reserved -= job.reserve.millicores;
+  this->teams.at(row.team).reserved -= job.reserve.millicores;
+}
+
+double FairQueue::ShareOf(TeamNumber number) const {
+  const TeamQueue& team = this->teams.at(number);
+  const double quota =
+      team.quota_millicores > 0 ? static_cast<double>(team.quota_millicores) : kNoQuotaMillicores;
+  return static_cast<double>(team.reserved) / quota;
+}
+
+}  // namespace mangoroad::placement::internal
--- /dev/null
+++ b/src/libs/placement/scheduler.cc
@@ -0,0 +1,560 @@
+#include "placement/scheduler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "placement/failure_tracker.h"
+#include "placement/fair_queue.h"
+#include "placement/fleet.h"
+#include "placement/latency_guard.h"
+#include "placement/preemption.h"
+#include "placement/strategy.h"
+
+namespace mangoroad::placement {
+namespace {
+
+using base::TimePoint;
+using namespace internal;
+
+// A blocked lane is tried again after this even if no room became free, since waiting times and
+// measurements change what may be done.
+constexpr base::Duration kTryAgainAfter = std::chrono::seconds(1);
+
+// Weight of a task that was ordered to write a checkpoint; above any 1 / (1 + cost).
+constexpr double kOrderedFirst = 1e6;
+
+// Targets compared first when a job seems to fit none.
+constexpr std::size_t kFewTargets = 64;
+
+// Remembered needs that don't fit; more would cost more to compare than a search of the index.
+constexpr std::size_t kMaxMisses = 16;
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+/// A need that found no room since the epoch began.
+struct Miss {
+  std::uint64_t domains = 0;
+  Resources need{};
+};
+
+struct Placement {
+  TargetNumber target = 0;
+  double score = 0;
+  bool explored = false;
+};
+
+}  // namespace
+
+struct Scheduler::Private {
+  std::unique_ptr<SharingPolicy> policy;
+  SchedulerSettings settings;
+  Fleet fleet;
+  FairQueue queue;
+  FailureTracker failures;
+  LatencyGuard guard;
+  Preemption preemption;
+  /// Jobs that wait for the end of a backoff.
+  std::multimap<TimePoint, std::pair<PendingJob, RowNumber>> delayed;
+  std::unordered_map<JobId, std::multimap<TimePoint, std::pair<PendingJob, RowNumber>>::iterator>
+      delayed_jobs;
+  /// Jobs that fit no known target.
+  std::map<JobId, PendingJob> unplaceable;
+  bool reconsider = false;
+  // Decided between two calls of Schedule().
+  std::vector<Order> orders;
+  std::vector<UnplaceableJob> set_aside;
+  std::vector<Miss> misses;
+  std::uint64_t misses_epoch = 0;
+  std::uint32_t rotation = 0;
+  // Reused between searches.
+  std::vector<TargetNumber> candidates;
+
+  Private(std::unique_ptr<SharingPolicy> given, const SchedulerSettings& limits)
+      : policy(std::move(given)),
+        settings(limits),
+        preemption(this->fleet, this->queue, this->settings) {}
+
+  SharingView ViewOf(const Target& target) const {
+    return {target.spec.name, target.spec.capacity.millicores, target.mix};
+  }
+
+  bool IsKnown(JobId job) const {
+    return this->queue.Find(job) != nullptr || this->fleet.FindTask(job) != nullptr ||
+           this->delayed_jobs.contains(job) || this->unplaceable.contains(job);
+  }
+
+  std::uint64_t DomainsOf(const RowSpec& row) {
+    std::uint64_t domains = 0;
+    for (const std::string& name : row.place) {
+      domains |= std::uint64_t{1} << this->fleet.DomainOf(name);
+    }
+    return row.place.empty() ? ~std::uint64_t{0} : domains;
+  }
+
+  // True when no less demanding need found room since the epoch began.
+  bool IsMissed(std::uint64_t domains, const Resources& need) {
+    if (this->misses_epoch != this->fleet.Epoch()) {
+      this->misses.clear();
+      this->misses_epoch = this->fleet.Epoch();
+    }
+    return std::ranges::any_of(this->misses, [&](const Miss& miss) {
+      return (domains & ~miss.domains) == 0 && miss.need.FitsIn(need);
+    });
+  }
+
+  // Compares the candidates and keeps the best; gives nothing when the policy refuses all.
+  std::optional<Placement> Best(TimePoint now, const WaitingJob& job) {
+    const RowSpec& row = this->queue.Row(job.row);
+    const Strategy& strategy = StrategyOf(row.strategy);
+    std::optional<Placement> best;
+    for (const TargetNumber number : this->candidates) {
+      const Target& target = this->fleet.At(number);
+      if (!target.Accepts(row.name)) continue;
+      const Verdict verdict = this->policy->Evaluate(now, this->ViewOf(target), job.row,
+                                                     job.request.reserve.millicores);
+      if (!verdict.allowed) continue;
+      const auto same = std::ranges::find(target.mix, job.row, &RowMix::row);
+      const Candidate candidate{
+          target.Free(), target.Usable(), job.request.reserve,
+          strategy.largest_first ? this->fleet.CountOnRack(target.spec.rack, job.row) : 0,
+          same == target.mix.end() ? 0 : same->count};
+      // The strategy decides between targets of about equal gain.
+      const double score = verdict.gain + 0.1 * strategy.score(candidate);
+      if (!best || score > best->score) best = Placement{number, score, verdict.explored};
+    }
+    return best;
+  }
+
+  std::optional<Placement> SearchDomain(TimePoint now, const WaitingJob& job, DomainNumber domain,
+                                        std::size_t limit) {
+    const Strategy& strategy = StrategyOf(this->queue.Row(job.row).strategy);
+    const bool compares = this->policy->ComparesTargets();
+    this->candidates.clear();
+    this->fleet.FreeIndex().Collect(
+        {.need = job.request.reserve,
+         .domain = domain,
+         .largest_first = strategy.largest_first,
+         .limit = limit,
+         .per_bucket = compares ? std::max<std::size_t>(2, limit / 4) : limit},
+        this->candidates);
+    return this->Best(now, job);
+  }
+
+  // The best target in the first domain of `place` that has one, or over all domains.
+  std::optional<Placement> Search(TimePoint now, const WaitingJob& job, bool& any_fits) {
+    const RowSpec& row = this->queue.Row(job.row);
+    const auto try_domain = [&](DomainNumber domain, std::size_t limit) {
+      auto found = this->SearchDomain(now, job, domain, limit);
+      any_fits = any_fits || !this->candidates.empty();
+      return found;
+    };
+    if (!row.place.empty()) {
+      for (const std::string& name : row.place) {
+        if (auto found = try_domain(this->fleet.DomainOf(name), this->settings.candidates)) {
+          return found;
+        }
+      }
+      return std::nullopt;
+    }
+    const std::size_t domains = this->fleet.DomainCount();
+    if (domains == 0) return std::nullopt;
+    const std::size_t each = std::max<std::size_t>(2, this->settings.candidates / domains);
+    std::optional<Placement> best;
+    ++this->rotation;
+    for (std::size_t step = 0; step < domains; ++step) {
+      const auto domain = static_cast<DomainNumber>((this->rotation + step) % domains);
+      const auto found = try_domain(domain, each);
+      if (found && (!best || found->score > best->score)) best = found;
+    }
+    return best;
+  }
+
+  void Reserve(TimePoint now, const WaitingJob& job, const Placement& placement,
+               Decisions& decisions) {
+    const Target& target = this->fleet.At(placement.target);
+    decisions.starts.push_back({job.request.job, job.request.attempt, target.spec.name,
+                                target.spec.incarnation, job.request.reserve});
+    this->fleet.AddTask({.job = job.request.job,
+                         .row = job.row,
+                         .target = placement.target,
+                         .request = job.request,
+                         .started = now,
+                         .checkpointed = now});
+    this->queue.OnReserved(job.row, job.request, true);
+    this->policy->OnStarted(placement.explored);
+    this->failures.OnStart(now, placement.target, job.row);
+    this->ApplyBackoffs(now, placement.target, job.row);
+    this->preemption.Finish(job.request.job, this->orders);
+  }
+
+  void AddOrder(const Task& task, jobs::TaskAction action, std::string reason) {
+    this->orders.push_back({task.job, task.token, action, std::move(reason)});
+  }
+
+  void ApplyBackoffs(TimePoint now, TargetNumber target, RowNumber row) {
+    const auto until = this->failures.TargetUntil(target);
+    const bool suspended = until && now < *until;
+    if (this->fleet.At(target).suspended != suspended) this->fleet.Suspend(target, suspended);
+    this->queue.BlockRow(row, this->failures.RowUntil(row).value_or(TimePoint{}));
+  }
+
+  // Whether one of the first `limit` targets that could hold `need` takes the row; nothing when
+  // there are more.
+  std::optional<bool> FitsAmong(const RowSpec& row, const Resources& need, DomainNumber domain,
+                                std::size_t limit) {
+    this->candidates.clear();
+    this->fleet.CapacityIndex().Collect(
+        {.need = need, .domain = domain, .limit = limit, .per_bucket = limit}, this->candidates);
+    const bool fits = std::ranges::any_of(this->candidates, [&](TargetNumber target) {
+      return this->fleet.At(target).Accepts(row.name);
+    });
+    if (!fits && this->candidates.size() == limit) return std::nullopt;
+    return fits;
+  }
+
+  bool FitsAnyTarget(const RowSpec& row, const Resources& need) {
+    for (DomainNumber domain = 0; domain < this->fleet.DomainCount(); ++domain) {
+      if (!IsInPlace(row, this->fleet.DomainName(domain))) continue;
+      // All targets are compared only when many of them don't take the row.
+      const auto few = this->FitsAmong(row, need, domain, kFewTargets);
+      const auto all = this->fleet.KnownCount() + 1;
+      if (few.value_or(false)) return true;
+      if (!few && this->FitsAmong(row, need, domain, all).value_or(false)) return true;
+    }
+    return false;
+  }
+
+  std::string ReasonFor(const RowSpec& row, const Resources& need) {
+    Resources largest;
+    for (const Target& target : this->fleet.Targets()) {
+      if (!target.known || !IsInPlace(row, target.spec.failure_domain)) continue;
+      const Resources usable = target.Usable();
+      largest.millicores = std::max(largest.millicores, usable.millicores);
+      largest.memory_mib = std::max(largest.memory_mib, usable.memory_mib);
+      largest.accelerators = std::max(largest.accelerators, usable.accelerators);
+    }
+    return fmt::format(
+        "no target of row {} holds {} millicores, {} MiB and {} accelerators together; the largest "
+        "amounts are {}, {} and {}",
+        row.name, need.millicores, need.memory_mib, need.accelerators, largest.millicores,
+        largest.memory_mib, largest.accelerators);
+  }
+
+  void SetAside(const PendingJob& job, std::string reason) {
+    this->preemption.Finish(job.job, this->orders);
+    this->unplaceable.emplace(job.job, job);
+    this->set_aside.push_back({job.job, std::move(reason)});
+  }
+
+  void SetAsideWithoutRow(const PendingJob& job) {
+    this->SetAside(job, fmt::format("row {} isn't in the table", job.row));
+  }
+
+  // The head of a lane found no room. Makes room for it when it has waited long enough.
+  void OnNoRoom(TimePoint now, WaitingJob& job) {
+    const RowSpec& row = this->queue.Row(job.row);
+    const base::Duration waited = now - job.since;
+    if (this->fleet.KnownCount() > 0 && waited >= this->settings.unplaceable_after &&
+        !this->FitsAnyTarget(row, job.request.reserve)) {
+      if (const auto removed = this->queue.Remove(job.request.job)) {
+        this->SetAside(removed->request, this->ReasonFor(row, removed->request.reserve));
+      }
+      return;
+    }
+    const TeamNumber team = this->queue.TeamOf(job.row);
+    const bool in_quota =
+        this->queue.HasQuota(team) &&
+        this->queue.ReservedOf(team) + job.request.reserve.millicores <= this->queue.QuotaOf(team);
+    if (job.request.urgent) {
+      this->preemption.Begin(now, job, ClearingKind::kUrgent);
+    } else if (in_quota && waited >= this->settings.reclaim_after &&
+               this->preemption.Begin(now, job, ClearingKind::kReclaim)) {
+      job.lacks = "room; borrowed capacity is reclaimed";
+    } else if (waited >= this->settings.hold_after) {
+      this->preemption.Begin(now, job, ClearingKind::kDrain);
+    }
+  }
+
+  // Tries the job that Next() gave; gives false when it has to wait.
+  bool TryPlace(TimePoint now, JobId id, Decisions& decisions) {
+    WaitingJob& job = *this->queue.Find(id);
+    const std::uint64_t domains = this->DomainsOf(this->queue.Row(job.row));
+    bool any_fits = false;
+    if (!this->IsMissed(domains, job.request.reserve)) {
+      if (const auto placement = this->Search(now, job, any_fits)) {
+        if (const auto removed = this->queue.Remove(id)) {
+          this->Reserve(now, *removed, *placement, decisions);
+        }
+        return true;
+      }
+      if (!any_fits && this->misses.size() < kMaxMisses) {
+        this->misses.push_back({domains, job.request.reserve});
+      }
+    }
+    job.lacks = any_fits ? "a target where it may share" : "room";
+    const base::Duration again =
+        job.request.urgent ? base::Duration(std::chrono::milliseconds(50)) : kTryAgainAfter;
+    this->queue.Block(id, this->fleet.Epoch(), now + again);
+    this->OnNoRoom(now, job);
+    return false;
+  }
+
+  void PlaceCleared(TimePoint now, Decisions& decisions) {
+    for (const JobId id : this->preemption.Beneficiaries()) {
+      const WaitingJob* job = this->queue.Find(id);
+      if (job == nullptr) {
+        this->preemption.Finish(id, this->orders);
+        continue;
+      }
+      const auto target = this->preemption.ReadyTarget(*job);
+      if (!target) continue;
+      if (const auto removed = this->queue.Remove(id)) {
+        this->Reserve(now, *removed, {*target, 0, false}, decisions);
+      }
+    }
+  }
+
+  void ReconsiderUnplaceable(TimePoint now, Decisions& decisions) {
+    if (!std::exchange(this->reconsider, false)) return;
+    std::erase_if(this->unplaceable, [&](const auto& entry) {
+      const auto row = this->queue.FindRow(entry.second.row);
+      if (!row || !this->FitsAnyTarget(this->queue.Row(*row), entry.second.reserve)) return false;
+      decisions.reconsidered.push_back(entry.first);
+      this->queue.Push(now, entry.second, *row);
+      return true;
+    });
+  }
+
+  void ReleaseBackoffs(TimePoint now) {
+    while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
+      const auto [job, row] = this->delayed.begin()->second;
+      this->delayed_jobs.erase(job.job);
+      this->delayed.erase(this->delayed.begin());
+      this->queue.Push(now, job, row);
+    }
+    for (const TargetNumber target : this->failures.TakeReleased(now)) {
+      this->fleet.Suspend(target, false);
+    }
+  }
+
+  void OrderStop(Task& task, std::string reason) {
+    task.stopping = true;
+    // A start that isn't in the log yet gets its order with the token.
+    if (task.token != 0) this->AddOrder(task, jobs::TaskAction::kStop, std::move(reason));
+  }
+
+  // Task whose throttling or eviction helps the target's services most.
+  Task* WorstFor(TimePoint now, const Target& target, bool evict) {
+    Task* worst = nullptr;
+    double most = 0;
+    for (const JobId job : target.tasks) {
+      Task* task = this->fleet.FindTask(job);
+      if (task->stopping || task->token == 0 || (!evict && task->throttled)) continue;
+      double weight = 1;
+      if (evict) {
+        const auto cost =
+            EvictionCost(*task, this->queue.Row(task->row), now, this->settings, true);
+        if (!cost) continue;
+        // A task that has written a checkpoint for this purpose is the one to stop.
+        weight = task->checkpoint_ordered ? kOrderedFirst : 1 / (1 + *cost);
+      }
+      const double pressure = this->policy->Pressure(now, this->ViewOf(target), task->row) * weight;
+      if (worst == nullptr || pressure > most) {
+        worst = task;
+        most = pressure;
+      }
+    }
+    return worst;
+  }
+};
+
+Scheduler::Scheduler(std::unique_ptr<SharingPolicy> policy, SchedulerSettings settings)
+    : d(std::make_unique<Private>(std::move(policy), settings)) {}
+Scheduler::~Scheduler() = default;
+
+void Scheduler::SetRows(TimePoint /*now*/, const std::vector<RowSpec>& rows,
+                        const std::vector<TeamSpec>& teams) {
+  for (const PendingJob& job : this->d->queue.SetRows(rows, teams)) {
+    this->d->SetAsideWithoutRow(job);
+  }
+  for (const RowSpec& row : rows) {
+    if (const auto number = this->d->queue.FindRow(row.name)) {
+      this->d->policy->OnRow(*number, row);
+    }
+  }
+  this->d->fleet.Advance();
+  this->d->reconsider = true;
+}
+
+void Scheduler::OnTargetChanged(TimePoint /*now*/, const TargetSpec& spec) {
+  this->d->fleet.SetTarget(spec);
+  this->d->reconsider = !this->d->unplaceable.empty();
+}
+
+void Scheduler::OnTargetGone(TimePoint /*now*/, std::string_view name) {
+  this->d->fleet.RemoveTarget(name);
+}
+
+void Scheduler::Submit(TimePoint now, const PendingJob& job) {
+  if (this->d->IsKnown(job.job)) return;
+  const auto row = this->d->queue.FindRow(job.row);
+  if (!row) {
+    this->d->SetAsideWithoutRow(job);
+    return;
+  }
+  PendingJob pending = job;
+  pending.urgent = pending.urgent || this->d->queue.Row(*row).urgent;
+  const auto until = this->d->failures.JobUntil(job.job);
+  if (until && now < *until) {
+    const auto entry = this->d->delayed.emplace(*until, std::pair(pending, *row));
+    this->d->delayed_jobs.emplace(job.job, entry);
+    return;
+  }
+  this->d->queue.Push(now, pending, *row);
+}
+
+void Scheduler::Cancel(TimePoint /*now*/, JobId job) {
+  this->d->queue.Remove(job);
+  this->d->unplaceable.erase(job);
+  this->d->failures.Forget(job);
+  this->d->preemption.Finish(job, this->d->orders);
+  if (const auto entry = this->d->delayed_jobs.find(job); entry != this->d->delayed_jobs.end()) {
+    this->d->delayed.erase(entry->second);
+    this->d->delayed_jobs.erase(entry);
+  }
+  Task* task = this->d->fleet.FindTask(job);
+  if (task != nullptr && !task->stopping) {
+    this->d->OrderStop(*task, "cancelled");
+  }
+}
+
+void Scheduler::Adopt(TimePoint now, const PendingJob& job, std::string_view target, Token token) {
+  if (this->d->IsKnown(job.job)) return;
+  // The reservation counts even when the row has left the table.
+  const RowNumber row = this->d->queue.NumberOf(job.row);
+  this->d->policy->OnRow(row, this->d->queue.Row(row));
+  this->d->fleet.AddTask({.job = job.job,
+                          .row = row,
+                          .target = this->d->fleet.NumberOf(target),
+                          .token = token,
+                          .request = job,
+                          .started = now,
+                          .checkpointed = now});
+  this->d->queue.OnReserved(row, job, false);
+}
+
+void Scheduler::OnTaskStarted(JobId job, Token token) {
+  Task* task = this->d->fleet.FindTask(job);
+  if (task == nullptr) return;
+  task->token = token;
+  if (task->stopping) this->d->OrderStop(*task, "cancelled");
+}
+
+void Scheduler::OnStartDropped(TimePoint now, JobId job) {
+  const auto task = this->d->fleet.RemoveTask(job);
+  if (!task) return;
+  this->d->queue.OnReleased(task->row, task->request);
+  if (!task->stopping) this->d->queue.Push(now, task->request, task->row);
+}
+
+void Scheduler::OnTaskProgress(TimePoint now, JobId job, const TaskProgress& progress) {
+  Task* task = this->d->fleet.FindTask(job);
+  if (task == nullptr) return;
+  task->progress = progress.progress;
+  if (progress.checkpoint > task->checkpoint) {
+    task->checkpoint = progress.checkpoint;
+    task->checkpointed = now;
+  }
+}
+
+void Scheduler::OnTaskEnded(TimePoint now, JobId job, TaskEnd end) {
+  const auto task = this->d->fleet.RemoveTask(job);
+  if (!task) return;
+  this->d->queue.OnReleased(task->row, task->request);
+  const std::size_t known = this->d->fleet.KnownCount();
+  if (end == TaskEnd::kFailed) {
+    this->d->failures.OnFailure(now, task->target, task->row, job, known);
+  } else if (end == TaskEnd::kRefused) {
+    this->d->failures.OnRefusal(now, task->target, job, known);
+  } else if (end == TaskEnd::kSucceeded) {
+    this->d->failures.OnSuccess(task->target, task->row, job);
+  }
+  this->d->ApplyBackoffs(now, task->target, task->row);
+}
+
+void Scheduler::OnServiceLatency(TimePoint now, std::string_view name, double latency_use) {
+  const auto number = this->d->fleet.FindTarget(name);
+  if (!number) return;
+  const Target& target = this->d->fleet.At(*number);
+  const GuardAction action = this->d->guard.OnReport(now, *number, latency_use);
+  if (action == GuardAction::kUnthrottle) {
+    for (const JobId job : target.tasks) {
+      Task* task = this->d->fleet.FindTask(job);
+      task->checkpoint_ordered = false;
+      if (!std::exchange(task->throttled, false)) continue;
+      this->d->AddOrder(*task, jobs::TaskAction::kUnthrottle, "services have recovered");
+    }
+    return;
+  }
+  if (action == GuardAction::kNone) return;
+  const bool evict = action == GuardAction::kEvict;
+  Task* task = this->d->WorstFor(now, target, evict);
+  if (task == nullptr) return;
+  if (!evict) {
+    task->throttled = true;
+    this->d->AddOrder(*task, jobs::TaskAction::kThrottle, "a service is above its bound");
+  } else if (task->request.checkpointable && !std::exchange(task->checkpoint_ordered, true)) {
+    this->d->AddOrder(*task, jobs::TaskAction::kCheckpoint, "a service stays above its bound");
+  } else {
+    this->d->OrderStop(*task, "a service stays above its bound");
+  }
+}
+
+Decisions Scheduler::Schedule(TimePoint now, std::size_t budget) {
+  Decisions decisions;
+  this->d->ReleaseBackoffs(now);
+  this->d->ReconsiderUnplaceable(now, decisions);
+  this->d->PlaceCleared(now, decisions);
+  while (decisions.starts.size() < budget) {
+    const auto job = this->d->queue.Next(now, this->d->fleet.Epoch());
+    if (!job) break;
+    this->d->TryPlace(now, *job, decisions);
+  }
+  this->d->preemption.Advance(now, this->d->orders);
+  decisions.orders = std::exchange(this->d->orders, {});
+  decisions.unplaceable = std::exchange(this->d->set_aside, {});
+  return decisions;
+}
+
+std::size_t Scheduler::WaitingCount() const {
+  return this->d->queue.Size() + this->d->delayed.size() + this->d->unplaceable.size();
+}
+
+std::size_t Scheduler::RunningCount() const { return this->d->fleet.TaskCount(); }
+
+std::string Scheduler::Explain(TimePoint now, JobId job) const {
+  if (const Task* task = this->d->fleet.FindTask(job)) {
+    return fmt::format("attempt {} on {} for {:.1f} s{}{}", task->request.attempt,
+                       this->d->fleet.At(task->target).spec.name, Seconds(now - task->started),
+                       task->throttled ? ", throttled" : "", task->stopping ? ", stopping" : "");
+  }
+  if (const WaitingJob* waiting = std::as_const(this->d->queue).Find(job)) {
+    return fmt::format("waits for {} since {:.1f} s; team at {:.2f} of its quota", waiting->lacks,
+                       Seconds(now - waiting->since),
+                       this->d->queue.ShareOf(this->d->queue.TeamOf(waiting->row)));
+  }
+  if (const auto entry = this->d->delayed_jobs.find(job); entry != this->d->delayed_jobs.end()) {
+    return fmt::format("failed before; tried again in {:.1f} s",
+                       Seconds(entry->second->first - now));
+  }
+  if (this->d->unplaceable.contains(job)) return "fits no known target";
+  return "unknown to the scheduler";
+}
+
+}  // namespace mangoroad::placement
