--- a/bench/capacity/job_slopes.cc
+++ b/bench/capacity/job_slopes.cc
@@ -40,8 +40,8 @@
     jobs::Command start;
     for (int number = first; number < std::min(count, first + 100); ++number) {
       submit.changes.emplace_back(jobs::SubmitJob{SpecOf(number)});
-      start.changes.emplace_back(jobs::JobStarted{static_cast<jobs::JobId>(number + 1), 1,
-                                                  TargetOf(number), 1, {2000, 4096, 0}});
+      start.changes.emplace_back(jobs::JobStarted{
+          static_cast<jobs::JobId>(number + 1), 1, TargetOf(number), 1, {2000, 4096, 0}});
     }
     book->Apply(index++, jobs::EncodeCommand(submit));
     const std::uint64_t token = index++;
@@ -143,19 +143,25 @@
 std::vector<SlopeSpec> JobSlopes() {
   const std::vector<double> sizes{2'000, 10'000, 20'000, 40'000};
   return {
-      {"leader and replicas", "memory of the job book", "MB", "running tasks", sizes,
-       kRunningTasks, "one record a job, keys dropped after two days", BookBytes},
+      {"leader and replicas", "memory of the job book", "MB", "running tasks", sizes, kRunningTasks,
+       "one record a job, keys dropped after two days", BookBytes},
       {"leader and replicas", "snapshot of the job book", "MB", "running tasks", sizes,
        kRunningTasks, "msgpack, sent in chunks", SnapshotBytes},
       {"leader and replicas",
-       fmt::format("processor time of {} logged changes a task", kChangesPerTask), "ms",
-       "tasks", sizes, kStartsPerSecond, "changes batched in one entry", LifecycleTime},
+       fmt::format("processor time of {} logged changes a task", kChangesPerTask), "ms", "tasks",
+       sizes, kStartsPerSecond, "changes batched in one entry", LifecycleTime},
       {"leader", "memory of leases", "MB", "running tasks", sizes, kRunningTasks,
        "renewals kept in memory, not in the log", LeaseBytes},
       {"leader", "processor time for one report of every target", "ms", "running tasks", sizes,
        kRunningTasks, "one report a target renews all its leases", ReportTime},
-      {"target", "size of a report between entry VMs", "bytes", "tasks on the target",
-       {1, 5, 14, 30}, kTasksPerTarget, "one report a target", ReportBytes},
+      {"target",
+       "size of a report between entry VMs",
+       "bytes",
+       "tasks on the target",
+       {1, 5, 14, 30},
+       kTasksPerTarget,
+       "one report a target",
+       ReportBytes},
   };
 }
 
--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -23,15 +23,18 @@
   AddSlopes(specs, JobSlopes());
 
   nlohmann::json report = nlohmann::json::array();
-  fmt::print("| role | quantity | sizes | measured | slope | error | target size | at target | mechanism |\n");
+  fmt::print(
+      "| role | quantity | sizes | measured | slope | error | target size | at target | mechanism "
+      "|\n");
   fmt::print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
   for (const SlopeSpec& spec : specs) {
     const SlopeResult result = Fit(spec);
-    fmt::print("| {} | {} | {:.0f} {} | {:.4g} {} | {:.4g} {} each | {:.1f}% | {:.0f} | {:.4g} {} | {} |\n",
-               spec.role, spec.quantity, fmt::join(spec.sizes, ", "), spec.per,
-               fmt::join(result.values, ", "), spec.unit, result.slope, spec.unit,
-               result.relative_error * 100, spec.target_size, result.at_target, spec.unit,
-               spec.mechanism);
+    fmt::print(
+        "| {} | {} | {:.0f} {} | {:.4g} {} | {:.4g} {} each | {:.1f}% | {:.0f} | {:.4g} {} | {} "
+        "|\n",
+        spec.role, spec.quantity, fmt::join(spec.sizes, ", "), spec.per,
+        fmt::join(result.values, ", "), spec.unit, result.slope, spec.unit,
+        result.relative_error * 100, spec.target_size, result.at_target, spec.unit, spec.mechanism);
     std::fflush(stdout);
     report.push_back({{"role", spec.role},
                       {"quantity", spec.quantity},
--- a/bench/capacity/slope.h
+++ b/bench/capacity/slope.h
@@ -11,10 +11,10 @@
 
 /// One cost as a function of one size, with the size it has to reach.
 struct SlopeSpec {
-  std::string role;       // who bears the cost: leader, owner, holder, target, ...
-  std::string quantity;   // what is measured
-  std::string unit;       // unit of the value
-  std::string per;        // what the size counts
+  std::string role;      // who bears the cost: leader, owner, holder, target, ...
+  std::string quantity;  // what is measured
+  std::string unit;      // unit of the value
+  std::string per;       // what the size counts
   std::vector<double> sizes;
   double target_size = 0;  // size at the target of docs/design.md, section 1.5
   std::string mechanism;   // what keeps the cost at this slope
--- a/src/libs/entry/answers.cc
+++ b/src/libs/entry/answers.cc
@@ -11,16 +11,16 @@
 constexpr int kDefaultStatus = 500;
 
 constexpr std::array<std::pair<ErrorKind, int>, kErrorKindNames.size()> kStatuses{{
-    {ErrorKind::kBadRequest, 400},      {ErrorKind::kOperatorToken, 401},
-    {ErrorKind::kNotFound, 404},        {ErrorKind::kUnknownRow, 404},
-    {ErrorKind::kMethod, 405},          {ErrorKind::kTooLarge, 413},
-    {ErrorKind::kConflict, 409},        {ErrorKind::kInDoubt, 409},
-    {ErrorKind::kKeyReused, 422},       {ErrorKind::kFaults, 422},
-    {ErrorKind::kChangeIdReused, 422},  {ErrorKind::kRefused, 422},
-    {ErrorKind::kUnsafeChange, 422},    {ErrorKind::kOverLimit, 429},
-    {ErrorKind::kTargetFailed, 502},    {ErrorKind::kOverloaded, 503},
-    {ErrorKind::kNoTarget, 503},        {ErrorKind::kHomeUnreachable, 503},
-    {ErrorKind::kDraining, 503},        {ErrorKind::kNoQuorum, 503},
+    {ErrorKind::kBadRequest, 400},     {ErrorKind::kOperatorToken, 401},
+    {ErrorKind::kNotFound, 404},       {ErrorKind::kUnknownRow, 404},
+    {ErrorKind::kMethod, 405},         {ErrorKind::kTooLarge, 413},
+    {ErrorKind::kConflict, 409},       {ErrorKind::kInDoubt, 409},
+    {ErrorKind::kKeyReused, 422},      {ErrorKind::kFaults, 422},
+    {ErrorKind::kChangeIdReused, 422}, {ErrorKind::kRefused, 422},
+    {ErrorKind::kUnsafeChange, 422},   {ErrorKind::kOverLimit, 429},
+    {ErrorKind::kTargetFailed, 502},   {ErrorKind::kOverloaded, 503},
+    {ErrorKind::kNoTarget, 503},       {ErrorKind::kHomeUnreachable, 503},
+    {ErrorKind::kDraining, 503},       {ErrorKind::kNoQuorum, 503},
     {ErrorKind::kDeadline, 504},
 }};
 
--- a/src/libs/entry/cluster_machine.h
+++ b/src/libs/entry/cluster_machine.h
@@ -1,4 +1,5 @@
-// The replicated state of the cluster as the log applies it: table, views, targets, audit trail and jobs.
+// The replicated state of the cluster as the log applies it: table, views, targets, audit trail and
+// jobs.
 #pragma once
 
 #include <string>
--- a/src/libs/entry/entry_node.h
+++ b/src/libs/entry/entry_node.h
@@ -27,8 +27,8 @@
   /// Reads the data folder, listens and connects to the peers.
   base::Result<base::Done, EntryError> Start();
 
-  /// Graceful stop: refuses new work, hands over leadership, lets requests in progress end, then calls `done`. Requests
-  /// that still run after the drain time of the settings are abandoned.
+  /// Graceful stop: refuses new work, hands over leadership, lets requests in progress end, then
+  /// calls `done`. Requests that still run after the drain time of the settings are abandoned.
   void Drain(std::function<void()> done);
 
  private:
--- a/src/libs/entry/http_router.h
+++ b/src/libs/entry/http_router.h
@@ -15,7 +15,8 @@
 /// Parts of a path that matched placeholders, in order.
 using PathParameters = std::vector<std::string>;
 
-/// Table of routes. A pattern has literal segments, `{}` for one segment and a final `{...}` for the rest.
+/// Table of routes. A pattern has literal segments, `{}` for one segment and a final `{...}` for
+/// the rest.
 class HttpRouter {
  public:
   using Handler = std::function<void(const net::HttpExchangePtr&, const PathParameters&)>;
--- a/src/libs/entry/job_json.cc
+++ b/src/libs/entry/job_json.cc
@@ -59,7 +59,8 @@
   object["target"] = jobs::HoldsLease(job.state) ? job.target : "";
   object["attempt"] = job.attempt;
   object["checkpoint"] = job.checkpoint;
-  const bool ended = job.state == jobs::JobState::kSucceeded || job.state == jobs::JobState::kFailed;
+  const bool ended =
+      job.state == jobs::JobState::kSucceeded || job.state == jobs::JobState::kFailed;
   object["exit_code"] = ended ? nlohmann::json(job.exit_code) : nlohmann::json(nullptr);
   object["reason"] = job.reason;
   object["submitted_ms"] = job.submitted_ms;
@@ -112,8 +113,8 @@
   spec.checkpointable = reader.Flag("checkpointable", Presence::kOptional);
   spec.urgent = reader.Flag("urgent", Presence::kOptional);
   std::string fault = reader.Fault();
-  const bool printable = std::ranges::all_of(
-      spec.key, [](unsigned char c) { return c > ' ' && c < 0x7f; });
+  const bool printable =
+      std::ranges::all_of(spec.key, [](unsigned char c) { return c > ' ' && c < 0x7f; });
   if (fault.empty() && !printable) {
     fault = "field 'key' must be printable ASCII characters without space";
   }
@@ -128,8 +129,8 @@
   report.tasks.target = target;
   report.tasks.incarnation = reader.Unsigned("incarnation", Presence::kRequired);
   report.tasks.sequence = reader.Unsigned("sequence", Presence::kRequired);
-  report.age = std::chrono::milliseconds(
-      reader.Integer("taken_ms_ago", Presence::kOptional, 0, 3'600'000));
+  report.age =
+      std::chrono::milliseconds(reader.Integer("taken_ms_ago", Presence::kOptional, 0, 3'600'000));
   std::string bad_state;
   for (JsonReader& item : reader.Objects("tasks", Presence::kOptional)) {
     jobs::TaskReport task;
@@ -166,9 +167,8 @@
 
 namespace {
 
-using ReportRecord =
-    std::tuple<std::uint32_t, std::uint64_t, std::string, std::int64_t,
-               std::vector<std::tuple<std::string, double, double>>>;
+using ReportRecord = std::tuple<std::uint32_t, std::uint64_t, std::string, std::int64_t,
+                                std::vector<std::tuple<std::string, double, double>>>;
 
 }  // namespace
 
@@ -179,9 +179,8 @@
                            return std::make_tuple(service.row, service.p99_ms, service.rate);
                          });
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer, ReportRecord{kFormatVersion, number,
-                                     jobs::EncodeTargetReport(report.tasks), report.age.count(),
-                                     std::move(services)});
+  msgpack::pack(buffer, ReportRecord{kFormatVersion, number, jobs::EncodeTargetReport(report.tasks),
+                                     report.age.count(), std::move(services)});
   return {buffer.data(), buffer.size()};
 }
 
--- a/src/libs/entry/job_leader.cc
+++ b/src/libs/entry/job_leader.cc
@@ -43,7 +43,7 @@
   std::uint64_t table_version = 0;
   jobs::LeaseKeeper leases;
   std::unique_ptr<placement::Scheduler> scheduler;
-  std::map<std::string, std::string, std::less<>> addresses;  // of targets, by id
+  std::map<std::string, std::string, std::less<>> addresses;                // of targets, by id
   std::map<std::string, std::vector<jobs::TaskOrder>, std::less<>> orders;  // by target
   std::set<std::string, std::less<>> lost;
 
@@ -204,8 +204,8 @@
   const base::TimePoint now = this->node.loop.Now();
   const jobs::Job* job = this->Book().Find(answer.job);
   if (job == nullptr) return;
-  const bool applied = answer.kind == jobs::AnswerKind::kDone ||
-                       answer.kind == jobs::AnswerKind::kCreated;
+  const bool applied =
+      answer.kind == jobs::AnswerKind::kDone || answer.kind == jobs::AnswerKind::kCreated;
   if (std::holds_alternative<jobs::JobStarted>(change)) {
     if (!applied) {
       this->scheduler->OnStartDropped(now, answer.job);
@@ -291,8 +291,7 @@
 void JobLeader::OnApplied(std::string_view command, std::string_view answer) {
   if (!this->d->active) return;
   const auto envelope = state::Decode<state::Envelope>(command);
-  if (!base::Ok(envelope) ||
-      base::ValueOf(envelope).kind != state::SubStateKind::kJobs) {
+  if (!base::Ok(envelope) || base::ValueOf(envelope).kind != state::SubStateKind::kJobs) {
     return;
   }
   const auto decoded = jobs::DecodeCommand(base::ValueOf(envelope).payload);
--- a/src/libs/entry/job_leader.h
+++ b/src/libs/entry/job_leader.h
@@ -11,7 +11,8 @@
 
 namespace mangoroad::entry {
 
-/// Active only while this entry VM leads the replicated log. A new leader rebuilds it from the job book.
+/// Active only while this entry VM leads the replicated log. A new leader rebuilds it from the job
+/// book.
 class JobLeader {
  public:
   explicit JobLeader(NodeContext& node);
--- a/src/libs/entry/json_reader.cc
+++ b/src/libs/entry/json_reader.cc
@@ -139,9 +139,9 @@
   const nlohmann::json* value = this->d->Take(name, presence);
   std::vector<std::pair<std::string, std::int64_t>> entries;
   if (value == nullptr) return entries;
-  const bool fits =
-      value->is_object() &&
-      std::ranges::all_of(*value, [](const auto& item) { return item.is_number_integer(); });
+  const bool fits = value->is_object() && std::ranges::all_of(*value, [](const auto& item) {
+                      return item.is_number_integer();
+                    });
   if (!fits) {
     this->d->Fault(name, "an object of integers", *value);
     return entries;
--- a/src/libs/entry/json_reader.h
+++ b/src/libs/entry/json_reader.h
@@ -1,4 +1,5 @@
-// Reads a JSON object field by field and collects every fault: missing and unknown fields, wrong types, ranges.
+// Reads a JSON object field by field and collects every fault: missing and unknown fields, wrong
+// types, ranges.
 #pragma once
 
 #include <cstdint>
@@ -12,7 +13,8 @@
 
 enum class Presence { kRequired, kOptional };
 
-/// Reader of one JSON object. After the last field has been read, Fault() is empty or names the first faults.
+/// Reader of one JSON object. After the last field has been read, Fault() is empty or names the
+/// first faults.
 class JsonReader {
  public:
   /// Parses `text`; a text that isn't an object is a fault.
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -51,10 +51,7 @@
 
   Private(net::EventLoop& event_loop, storage::FileSystem& file_system, AppliedState& applied_state,
           Send send_message)
-      : loop(event_loop),
-        files(file_system),
-        state(applied_state),
-        send(std::move(send_message)) {}
+      : loop(event_loop), files(file_system), state(applied_state), send(std::move(send_message)) {}
 
   void FailStorage(const storage::StorageError& error);
   bool Persist(const consensus::Output& output);
--- a/src/libs/entry/log_service.h
+++ b/src/libs/entry/log_service.h
@@ -1,4 +1,5 @@
-// Runs one replica of the replicated log: sends its messages, syncs its output and applies what is committed.
+// Runs one replica of the replicated log: sends its messages, syncs its output and applies what is
+// committed.
 #pragma once
 
 #include <cstdint>
--- a/src/libs/entry/responder.cc
+++ b/src/libs/entry/responder.cc
@@ -9,10 +9,9 @@
 
 constexpr std::uint32_t kFormatVersion = 1;
 
-using RequestRecord =
-    std::tuple<std::uint32_t, std::uint64_t, std::string, std::string, std::string,
-               std::vector<net::HttpHeaders::Field>, std::string, std::int64_t, std::string,
-               std::int64_t>;
+using RequestRecord = std::tuple<std::uint32_t, std::uint64_t, std::string, std::string,
+                                 std::string, std::vector<net::HttpHeaders::Field>, std::string,
+                                 std::int64_t, std::string, std::int64_t>;
 using AnswerRecord =
     std::tuple<std::uint32_t, std::uint64_t, std::uint32_t, std::uint8_t, int,
                std::vector<net::HttpHeaders::Field>, std::string, std::uint8_t, std::uint8_t>;
@@ -52,8 +51,7 @@
   for (const auto& [name, value] : headers.Fields()) {
     if (!net::IsHopByHopHeader(name)) passed.Add(name, value);
   }
-  passed.Add(std::string(kOutcomeHeader),
-             std::string(base::NameOf(kOutcomeNames, Outcome::kRan)));
+  passed.Add(std::string(kOutcomeHeader), std::string(base::NameOf(kOutcomeNames, Outcome::kRan)));
   this->exchange->StartReply(status, passed);
 }
 
--- a/src/libs/entry/responder.h
+++ b/src/libs/entry/responder.h
@@ -1,4 +1,5 @@
-// Where the answer to a live request goes: a caller's connection, or the entry VM that relayed the request.
+// Where the answer to a live request goes: a caller's connection, or the entry VM that relayed the
+// request.
 #pragma once
 
 #include <cstddef>
@@ -52,12 +53,13 @@
   net::HttpExchangePtr exchange;
 };
 
-/// Part of an answer that travels between entry VMs, in this order: kStart, kBody..., kEnd or kAbort; or one kRefuse.
+/// Part of an answer that travels between entry VMs, in this order: kStart, kBody..., kEnd or
+/// kAbort; or one kRefuse.
 enum class RelayPart : std::uint8_t { kRefuse, kStart, kBody, kEnd, kAbort };
 
 /// One frame of a relayed answer.
 struct RelayAnswer {
-  std::uint64_t request = 0;  // number that the relaying entry VM gave the request
+  std::uint64_t request = 0;   // number that the relaying entry VM gave the request
   std::uint32_t sequence = 0;  // number of the part, from 0 without gaps
   RelayPart part = RelayPart::kAbort;
   int status = 0;                                  // kStart
--- a/src/libs/entry/target_service.cc
+++ b/src/libs/entry/target_service.cc
@@ -82,18 +82,16 @@
   lending::Announcement announcement;
   info.id = target;
   info.address = reader.Text("address", Presence::kRequired, 64);
-  info.fence.incarnation = static_cast<std::uint64_t>(
-      reader.Integer("incarnation", Presence::kRequired, 1));
+  info.fence.incarnation =
+      static_cast<std::uint64_t>(reader.Integer("incarnation", Presence::kRequired, 1));
   info.fence.epoch = static_cast<std::uint64_t>(reader.Integer("epoch", Presence::kRequired));
   announcement.nonce = reader.Unsigned("nonce", Presence::kOptional);
   info.failure_domain = reader.Text("failure_domain", Presence::kRequired, 64);
   info.rack = reader.Text("rack", Presence::kRequired, 64);
   info.resources.millicores = static_cast<std::int64_t>(
       reader.Number("processors", Presence::kRequired, 0, kMaxProcessors) * 1000);
-  info.resources.memory_mib =
-      reader.Integer("memory_mib", Presence::kRequired, 0, kMaxMemoryMib);
-  info.resources.accelerators =
-      reader.Integer("accelerators", Presence::kOptional, 0, kMaxAmount);
+  info.resources.memory_mib = reader.Integer("memory_mib", Presence::kRequired, 0, kMaxMemoryMib);
+  info.resources.accelerators = reader.Integer("accelerators", Presence::kOptional, 0, kMaxAmount);
   info.capacity.slots =
       static_cast<std::int32_t>(reader.Integer("slots", Presence::kRequired, 0, kMaxAmount));
   info.capacity.connections =
@@ -173,7 +171,7 @@
 }
 
 void TargetService::Private::Borrow(base::TimePoint now) {
-  for (lending::OutgoingBorrow& outgoing : this->holder.Tick(now)) {
+  for (const auto& outgoing : this->holder.Tick(now)) {
     if (outgoing.owner == this->node.identity) {
       this->holder.OnLend(now, this->owner.OnBorrow(now, outgoing.message));
     } else {
--- a/src/libs/entry/target_service.h
+++ b/src/libs/entry/target_service.h
@@ -13,7 +13,8 @@
 
 namespace mangoroad::entry {
 
-/// Owns the targets that announce themselves here, and borrows from the other owners of the failure domain.
+/// Owns the targets that announce themselves here, and borrows from the other owners of the failure
+/// domain.
 class TargetService {
  public:
   explicit TargetService(NodeContext& node);
