Add the key registry

Cause: a keyed request that a caller sends again to any entry VM of the home domain must run at most once.

Change: KeyRegistry (claims acknowledged by all members, view changes by union of the last view's claims, answers up to 64 KiB, bounded memory, retirement of a domain), HomeOf by rendezvous hash, msgpack codec.

Decisions: a member is the identity of a process, so a restarted process is a new member. Members pull claims in parts of 1 MiB. Each part says up to which view its sender knows all acknowledged claims. When no member of the last view survives, unknown keys are in doubt for the retention time, and new members inherit that state. A member that missed views may hold claims that were given up; the member that knows more wins.

--- /dev/null
+++ b/src/libs/registry/home.h
@@ -0,0 +1,17 @@
+// Home failure domain of a key.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangoroad::registry {
+
+/// Home failure domain of `key`: the only domain of `place`, or the one with the highest rendezvous
+/// hash. Retired domains are left out, which moves only their own keys. Nothing when no domain is
+/// left.
+std::optional<std::string> HomeOf(std::string_view key, const std::vector<std::string>& place,
+                                  const std::vector<std::string>& retired);
+
+}  // namespace mangoroad::registry
--- /dev/null
+++ b/src/libs/registry/registry_codec.cc
@@ -0,0 +1,150 @@
+#include "registry/registry_codec.h"
+
+#include <algorithm>
+#include <iterator>
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace mangoroad::registry {
+namespace {
+
+constexpr int kFormatVersion = 1;
+
+// Each message has a tuple of plain values as its form on the wire.
+using Headers = std::vector<std::pair<std::string, std::string>>;
+using PackedId = std::tuple<std::string, std::uint64_t>;
+using PackedRecord = std::tuple<std::string, std::string, PackedId, base::Duration::rep, bool, int,
+                                Headers, std::string>;
+
+PackedId Pack(const ClaimId& id) { return {id.claimant, id.number}; }
+ClaimId Unpack(const PackedId& id) { return {std::get<0>(id), std::get<1>(id)}; }
+
+PackedRecord Pack(const ClaimRecord& record) {
+  const Answer answer = record.answer.value_or(Answer{});
+  return {
+      record.key,    record.digest,  Pack(record.id), record.age.count(), record.answer.has_value(),
+      answer.status, answer.headers, answer.body};
+}
+
+ClaimRecord Unpack(const PackedRecord& packed) {
+  const auto& [key, digest, id, age, answered, status, headers, body] = packed;
+  ClaimRecord record{key, digest, Unpack(id), base::Duration(age), std::nullopt};
+  if (answered) record.answer = Answer{status, headers, body};
+  return record;
+}
+
+std::vector<PackedRecord> PackAll(const std::vector<ClaimRecord>& records) {
+  std::vector<PackedRecord> packed;
+  std::ranges::transform(records, std::back_inserter(packed),
+                         [](const ClaimRecord& record) { return Pack(record); });
+  return packed;
+}
+
+std::vector<ClaimRecord> UnpackAll(const std::vector<PackedRecord>& packed) {
+  std::vector<ClaimRecord> records;
+  std::ranges::transform(packed, std::back_inserter(records),
+                         [](const PackedRecord& record) { return Unpack(record); });
+  return records;
+}
+
+std::vector<ClaimRecord> AsList(const std::optional<ClaimRecord>& record) {
+  return record ? std::vector{*record} : std::vector<ClaimRecord>{};
+}
+
+auto Fields(const ClaimMessage& m) { return std::make_tuple(m.view, m.key, m.digest, Pack(m.id)); }
+void SetFields(const decltype(Fields(ClaimMessage{}))& fields, ClaimMessage& m) {
+  m = {std::get<0>(fields), std::get<1>(fields), std::get<2>(fields), Unpack(std::get<3>(fields))};
+}
+
+auto Fields(const ClaimedMessage& m) {
+  return std::make_tuple(m.view, m.key, Pack(m.id), static_cast<std::uint8_t>(m.verdict),
+                         PackAll(AsList(m.existing)));
+}
+void SetFields(const decltype(Fields(ClaimedMessage{}))& fields, ClaimedMessage& m) {
+  const auto& [view, key, id, verdict, existing] = fields;
+  if (verdict > static_cast<std::uint8_t>(ClaimVerdict::kTaken) || existing.size() > 1) {
+    throw msgpack::type_error();
+  }
+  m = {view, key, Unpack(id), static_cast<ClaimVerdict>(verdict), std::nullopt};
+  if (!existing.empty()) m.existing = Unpack(existing.front());
+}
+
+auto Fields(const FinishMessage& m) { return std::make_tuple(Pack(m.record), m.released); }
+void SetFields(const decltype(Fields(FinishMessage{}))& fields, FinishMessage& m) {
+  m = {Unpack(std::get<0>(fields)), std::get<1>(fields)};
+}
+
+auto Fields(const FinishedMessage& m) { return std::make_tuple(m.key, Pack(m.id)); }
+void SetFields(const decltype(Fields(FinishedMessage{}))& fields, FinishedMessage& m) {
+  m = {std::get<0>(fields), Unpack(std::get<1>(fields))};
+}
+
+auto Fields(const FetchClaims& m) { return std::make_tuple(m.view, m.after, m.from_start); }
+void SetFields(const decltype(Fields(FetchClaims{}))& fields, FetchClaims& m) {
+  m = {std::get<0>(fields), std::get<1>(fields), std::get<2>(fields)};
+}
+
+auto Fields(const ViewClaims& m) {
+  return std::make_tuple(m.view, m.after, m.from_start, m.last, m.complete_to, m.in_doubt.count(),
+                         PackAll(m.claims));
+}
+void SetFields(const decltype(Fields(ViewClaims{}))& fields, ViewClaims& m) {
+  const auto& [view, after, from_start, last, complete_to, in_doubt, claims] = fields;
+  m = {view, after, from_start, last, complete_to, base::Duration(in_doubt), UnpackAll(claims)};
+}
+
+template <std::size_t kKind = 0>
+Message ReadKind(std::size_t kind, const msgpack::object& object) {
+  if constexpr (kKind < std::variant_size_v<Message>) {
+    if (kind != kKind) return ReadKind<kKind + 1>(kind, object);
+    std::variant_alternative_t<kKind, Message> message;
+    using Packed = decltype(Fields(message));
+    // The tuple conversion accepts arrays of another length and leaves fields unset.
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<Packed>) {
+      throw msgpack::type_error();
+    }
+    SetFields(object.as<Packed>(), message);
+    return message;
+  } else {
+    throw msgpack::type_error();
+  }
+}
+
+}  // namespace
+
+std::string Encode(const Message& message) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(3);
+  packer.pack(kFormatVersion);
+  packer.pack(message.index());
+  std::visit([&](const auto& alternative) { packer.pack(Fields(alternative)); }, message);
+  return {buffer.data(), buffer.size()};
+}
+
+base::Result<Message, CodecError> Decode(std::string_view bytes) {
+  try {
+    std::size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    const msgpack::object& object = handle.get();
+    if (offset != bytes.size() || object.type != msgpack::type::ARRAY ||
+        object.via.array.size != 3) {
+      return CodecError{CodecErrorKind::kMalformed, "not one array of 3 elements in " +
+                                                        std::to_string(bytes.size()) + " bytes"};
+    }
+    const msgpack::object* elements = object.via.array.ptr;
+    if (const int version = elements[0].as<int>(); version != kFormatVersion) {
+      return CodecError{CodecErrorKind::kUnknownVersion,
+                        "format version " + std::to_string(version)};
+    }
+    const auto kind = elements[1].as<std::size_t>();
+    if (kind >= std::variant_size_v<Message>) {
+      return CodecError{CodecErrorKind::kUnknownMessage, "message kind " + std::to_string(kind)};
+    }
+    return ReadKind(kind, elements[2]);
+  } catch (const std::exception& failure) {
+    return CodecError{CodecErrorKind::kMalformed, failure.what()};
+  }
+}
+
+}  // namespace mangoroad::registry
