--- a/src/libs/entry/target_service.cc
+++ b/src/libs/entry/target_service.cc
@@ -171,11 +171,11 @@
 }
 
 void TargetService::Private::Borrow(base::TimePoint now) {
-  for (const auto& outgoing : this->holder.Tick(now)) {
-    if (outgoing.owner == this->node.identity) {
-      this->holder.OnLend(now, this->owner.OnBorrow(now, outgoing.message));
+  for (const lending::Borrow& borrow : this->holder.Tick(now)) {
+    if (borrow.owner == this->node.identity) {
+      this->holder.OnLend(now, this->owner.OnBorrow(now, borrow));
     } else {
-      this->SendTo(outgoing.owner, message_kind::kBorrow, lending::Encode(outgoing.message));
+      this->SendTo(borrow.owner, message_kind::kBorrow, lending::Encode(borrow));
     }
   }
 }
@@ -224,11 +224,11 @@
 void TargetService::Tick() {
   const base::TimePoint now = this->d->node.loop.Now();
   this->d->ApplyMarks();
-  for (lending::OutgoingLend& recall : this->d->owner.Tick(now)) {
+  for (const lending::Lend& recall : this->d->owner.Tick(now)) {
     if (recall.holder == this->d->node.identity) {
-      this->d->holder.OnLend(now, recall.message);
+      this->d->holder.OnLend(now, recall);
     } else {
-      this->d->SendTo(recall.holder, message_kind::kLend, lending::Encode(recall.message));
+      this->d->SendTo(recall.holder, message_kind::kLend, lending::Encode(recall));
     }
   }
   this->d->Borrow(now);
