--- a/src/libs/consensus/replica.cc
+++ b/src/libs/consensus/replica.cc
@@ -111,7 +111,8 @@
   this->next_to_sync = this->log.LastIndex() + 1;
   output.snapshot_to_sync = std::exchange(this->snapshot_to_sync, nullptr);
   output.restore_snapshot = std::exchange(this->restore_snapshot, false);
-  if (output.restore_snapshot) output.truncate_after = output.snapshot_to_sync->index;
+  // The stored log may disagree with the snapshot; none of it is needed any more.
+  if (output.restore_snapshot) output.truncate_after = 0;
   if (!vote_changed && !commit_due && output.entries_to_sync.empty() && !output.snapshot_to_sync) {
     return;
   }
--- a/src/libs/storage/wal.cc
+++ b/src/libs/storage/wal.cc
@@ -60,6 +60,7 @@
     // A log that disagrees with the snapshot was discarded when the snapshot was installed; a
     // crash came before the record of that.
     if (snapshot && at_base != this->entries.end() && at_base->term != snapshot->term) {
+      this->disagrees = true;
       return std::vector<LogEntry>();
     }
     std::erase_if(this->entries, [&](const LogEntry& entry) { return entry.index <= base; });
@@ -69,6 +70,8 @@
 
   HardState hard_state;
   Index last_index = 0;
+  /// The entries contradict the snapshot.
+  bool disagrees = false;
 
  private:
   bool Apply(const LogEntry& entry) {
@@ -273,6 +276,10 @@
   }();
   opened.cut_bytes = size_before - base::ValueOf(valid_bytes);
   MANGOROAD_RETURN_IF_FAILED(parts->PrepareLastSegment(base::ValueOf(valid_bytes)));
+  if (replay.disagrees) {
+    MANGOROAD_RETURN_IF_FAILED(parts->WriteRecord(internal::EncodeTruncate({0})));
+    MANGOROAD_RETURN_IF_FAILED(parts->SyncFile());
+  }
   opened.wal = std::unique_ptr<Wal>(new Wal(std::move(parts)));
   return opened;
 }
