Add history tests of jobs and placement in virtual time

Cause: leases, tokens, checkpoints and capacity were tested one by one, not together under faults. Change: a fake cluster joins a leader, a log and four targets with drifting clocks over a seeded network; the leader dies at seeded steps or is isolated with live leases, messages are lost, late, repeated and reordered, targets are cut, frozen and restarted, sometimes twice in a row. Each 20 ms it checks that at most one place runs a task; starts, capacity, reports and the end of each job are checked as well.

--- /dev/null
+++ b/tests/auto/placement/fake_cluster.h
@@ -0,0 +1,123 @@
+// A leader, a log and targets in virtual time, joined by a seeded network, with seeded faults.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "jobs/job_book.h"
+#include "jobs/lease_keeper.h"
+#include "jobs/target_tasks.h"
+#include "placement/scheduler.h"
+
+namespace mangoroad::placement {
+
+/// Invariants that were broken, in words; empty for a correct run.
+using Faults = std::vector<std::string>;
+
+class FakeCluster;
+
+/// The present leader: what the daemon does with jobs, as far as these modules are concerned.
+class FakeLeader {
+ public:
+  FakeLeader(FakeCluster& joined, base::TimePoint now);
+  void OnTick(base::TimePoint now);
+  void OnReport(base::TimePoint now, const jobs::TargetReport& report);
+  void OnApplied(base::TimePoint now, const jobs::Change& change, const jobs::Answer& answer);
+
+ private:
+  void Queue(base::TimePoint now, const jobs::Job& job);
+  void SendStart(const jobs::Job& job);
+  void End(base::TimePoint now, const jobs::Job& job, TaskEnd end);
+
+  FakeCluster& cluster;
+  jobs::LeaseKeeper keeper;
+  std::unique_ptr<Scheduler> scheduler;
+  std::map<std::string, std::uint64_t> incarnations;
+};
+
+/// A target with a clock of its own and processes that make progress while they run.
+struct FakeTarget {
+  std::string name;
+  std::uint64_t incarnation = 1;
+  /// Rate of this clock against the true one, within the allowance.
+  double rate = 1;
+  base::TimePoint frozen_until{};
+  base::TimePoint cut_until{};
+  base::TimePoint next_report{};
+  std::unique_ptr<jobs::TargetTasks> tasks{};
+  struct Process {
+    jobs::Token token = 0;
+    double work_s = 0;
+    std::uint64_t checkpoint = 0;
+  };
+  std::map<JobId, Process> processes{};
+
+  base::TimePoint Clock(base::TimePoint now) const;
+  bool IsFrozen(base::TimePoint now) const { return now < this->frozen_until; }
+};
+
+class FakeCluster {
+ public:
+  explicit FakeCluster(std::uint64_t seed);
+  /// Runs with faults, then without until all jobs have ended or too much time passed.
+  Faults Run();
+
+ private:
+  friend class FakeLeader;
+  struct Event {
+    base::TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const Event& other) const {
+      return std::pair(this->at, this->order) > std::pair(other.at, other.order);
+    }
+  };
+
+  void Expect(bool condition, const std::string& text);
+  void At(base::TimePoint at, std::function<void()> action);
+  /// Delivers over the network: delayed, sometimes lost, repeated or very late.
+  void Send(const FakeTarget& target, std::function<void()> deliver);
+  void Propose(std::vector<jobs::Change> changes);
+  /// Counts a step of the leader; the leader dies at steps that the seed chooses.
+  void LeaderStep();
+  void LoseLeader();
+  void StartOn(FakeTarget& target, const jobs::StartTask& start);
+  void Replied(FakeTarget& target, const jobs::ReportReply& reply);
+  void StepTarget(FakeTarget& target);
+  void Execute(FakeTarget& target);
+  void Restart(FakeTarget& target);
+  void InjectFaults();
+  void CheckRunningPlaces();
+  void CheckEnd();
+  bool AllEnded() const;
+
+  base::Random random;
+  base::TimePoint now;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+  std::uint64_t event_count = 0;
+  jobs::JobBook book;
+  std::uint64_t log_index = 0;
+  std::unique_ptr<FakeLeader> leader;
+  /// Grows with each leader; proposals and messages of an older one find it changed.
+  std::uint64_t term = 0;
+  bool leader_lease = false;
+  std::uint64_t steps_left = 0;
+  std::vector<FakeTarget> targets;
+  std::map<JobId, double> work_s;
+  std::set<JobId> cancelled;
+  std::map<JobId, std::set<jobs::Token>> finished;
+  std::set<std::pair<JobId, jobs::Token>> started;
+  bool faulty = true;
+  Faults faults;
+};
+
+}  // namespace mangoroad::placement
--- a/tests/auto/placement/tst_scheduler.cc
+++ b/tests/auto/placement/tst_scheduler.cc
@@ -175,8 +175,8 @@
   while (!f.running.contains(100) && f.now < submitted + seconds(10)) {
     for (const Order& order : f.Step().orders) {
       actions.push_back(order.action);
-      if (order.action == jobs::TaskAction::kStop)
-        stops.emplace_back(f.now + seconds(1), order.job);
+      if (order.action != jobs::TaskAction::kStop) continue;
+      stops.emplace_back(f.now + seconds(1), order.job);
     }
     for (const auto& [at, job] : stops) {
       if (at == f.now) f.End(job, TaskEnd::kEvicted);
