Run the whole path in the demo

Cause: requests reached targets without their /v1/call prefix, and the target's outcome header was passed on beside ours. Change: the path is passed as the caller sent it; Mangoroad headers of a target are not passed on.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,7 +75,7 @@
   for n in 1 2; do
     id="${domains[$i]}-t$n"
     "$standin" --id "$id" --listen "127.0.0.1:$((17300 + 10 * i + n))" --entry "$(http_of "$i")" \
-      --failure-domain "${domains[$i]}" --rack "rack-$n" --service-time constant:5 \
+      --failure-domain "${domains[$i]}" --rack "rack-$n" --service-time constant:5 --leave-time-s 3 \
       --record "$work/$id.jsonl" 2>"$work/$id.log" &
     target_pid[$id]=$!
     pids+=("$!")
@@ -110,10 +110,10 @@
 echo "an unknown row is refused: $answer"
 
 say "A batch job is submitted, leased, run and reported"
-job=$("$ctl" job submit --row bundle --team districts --key bundle-1 --processors 2 --memory-mib 1024 --command 'run_ms=500' --json |
+job=$("$ctl" job submit --row bundle --team districts --key bundle-1 --processors 2 --memory-mib 1024 'run_ms=500' --json |
   sed -nE 's/.*"id": *"([0-9]+)".*/\1/p' | head -n 1)
 [ -n "$job" ] || fail "no job id"
-again=$("$ctl" job submit --row bundle --team districts --key bundle-1 --processors 2 --memory-mib 1024 --command 'run_ms=500' --json |
+again=$("$ctl" job submit --row bundle --team districts --key bundle-1 --processors 2 --memory-mib 1024 'run_ms=500' --json |
   sed -nE 's/.*"id": *"([0-9]+)".*/\1/p' | head -n 1)
 [ "$job" = "$again" ] || fail "the same key gave job $again after job $job"
 echo "job $job; the same key gives the same job"
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -138,7 +138,7 @@
   request->idempotent = row->idempotent;
   request->retries = row->retries;
   request->method = exchange->method;
-  request->target_path = parts.back().empty() ? "/" : parts.back();
+  request->target_path = exchange->path;
   if (!exchange->query.empty()) request->target_path += "?" + exchange->query;
   for (const auto& [name, value] : exchange->headers.Fields()) {
     if (!net::IsHopByHopHeader(name) && !IsOwnHeader(name)) request->headers.Add(name, value);
--- a/src/libs/entry/responder.cc
+++ b/src/libs/entry/responder.cc
@@ -49,7 +49,8 @@
 void HttpResponder::Start(int status, const net::HttpHeaders& headers) {
   net::HttpHeaders passed;
   for (const auto& [name, value] : headers.Fields()) {
-    if (!net::IsHopByHopHeader(name)) passed.Add(name, value);
+    const bool own = name.starts_with("Mangoroad-") || name.starts_with("mangoroad-");
+    if (!own && !net::IsHopByHopHeader(name)) passed.Add(name, value);
   }
   passed.Add(std::string(kOutcomeHeader), std::string(base::NameOf(kOutcomeNames, Outcome::kRan)));
   this->exchange->StartReply(status, passed);
