Free the stand-in's server before what its callbacks use

Cause: closing connections in the destructor ran a callback on a map that was destroyed before the server; a leaving stand-in ended with a double free in the demo. Change: the server is freed first. Result: the demo ends without an abort. Conclusion: found by the demo, which checks the exit status of a leaving target.

--- a/tests/standins/standin_target/target_server.cc
+++ b/tests/standins/standin_target/target_server.cc
@@ -136,6 +136,8 @@
     for (evhttp_request* request : this->hung) {
       if (evhttp_request_get_connection(request) == nullptr) evhttp_request_free(request);
     }
+    // Freeing the server closes its connections, whose callbacks use the members declared after it.
+    this->http.reset();
   }
 
   static TaskRunnerSettings RunnerSettings(const Options& options) {
