--- /dev/null
+++ b/src/libs/routing/limits.cc
@@ -0,0 +1,85 @@
+#include "routing/limits.h"
+
+#include <algorithm>
+
+namespace mangoroad::routing {
+namespace {
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+// Shorter intervals make the measured means too noisy at a few hundred requests a second.
+constexpr base::Duration kInterval = std::chrono::milliseconds(100);
+constexpr int kFewestSamples = 20;
+
+}  // namespace
+
+void RateLimit::SetRate(double tokens_per_second) {
+  if (this->rate == tokens_per_second) return;
+  this->rate = tokens_per_second;
+  this->tokens = std::max(1.0, this->rate * 0.1);
+}
+
+bool RateLimit::Take(base::TimePoint now) {
+  if (this->rate <= 0) return true;
+  const double added = Seconds(now - this->filled_at) * this->rate;
+  this->tokens = std::min(this->tokens + added, std::max(1.0, this->rate * 0.1));
+  this->filled_at = now;
+  if (this->tokens < 1) return false;
+  this->tokens -= 1;
+  return true;
+}
+
+base::Duration RateLimit::Wait() const {
+  const double missing = std::max(0.0, 1 - this->tokens);
+  return base::Duration(static_cast<base::Duration::rep>(missing / this->rate * 1e6));
+}
+
+void RetryBudget::OnFirstAttempt() { this->tokens = std::min(kMost, this->tokens + kRatio); }
+
+bool RetryBudget::Take() {
+  if (this->tokens < 1) return false;
+  this->tokens -= 1;
+  return true;
+}
+
+void AdaptiveLimit::OnAnswer(base::TimePoint now, base::Duration latency, int in_flight) {
+  this->sum_us += static_cast<double>(latency.count());
+  this->count += 1;
+  this->most_in_flight = std::max(this->most_in_flight, in_flight);
+  if (now < this->interval_end || this->count < kFewestSamples) return;
+  const double mean = this->sum_us / this->count;
+  constexpr double kDrift = 1.01;
+  this->baseline_us = this->baseline_us == 0 ? mean : std::min(mean, this->baseline_us * kDrift);
+  // Twice the best latency means that work waits inside the targets.
+  constexpr double kTolerance = 2.0;
+  constexpr double kDecrease = 0.9;
+  if (mean > kTolerance * this->baseline_us) {
+    this->limit = std::min(this->limit, static_cast<double>(this->most_in_flight)) * kDecrease;
+  } else if (this->most_in_flight >= this->limit / 2) {
+    this->limit += std::max(1.0, this->limit * 0.05);
+  }
+  this->limit =
+      std::clamp(this->limit, static_cast<double>(kLowest), static_cast<double>(kHighest));
+  this->sum_us = 0;
+  this->count = 0;
+  this->most_in_flight = 0;
+  this->interval_end = now + kInterval;
+}
+
+void ServiceRate::OnCompletion(base::TimePoint now) {
+  if (!this->started) {
+    this->started = true;
+    this->interval_start = now;
+    return;
+  }
+  this->count += 1;
+  const base::Duration elapsed = now - this->interval_start;
+  if (elapsed < kInterval) return;
+  const double measured = this->count / Seconds(elapsed);
+  constexpr double kSmoothing = 0.3;
+  this->rate = this->rate == 0 ? measured : this->rate + kSmoothing * (measured - this->rate);
+  this->count = 0;
+  this->interval_start = now;
+}
+
+}  // namespace mangoroad::routing
