--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -109,6 +109,17 @@
 grep -q '"outcome":"not-run"' <<<"$answer" || fail "unknown row: $answer"
 echo "an unknown row is refused: $answer"
 
+say "A keyed push is sent again to another failure domain and runs once"
+push() { curl -s -D "$work/headers" -X POST -H 'Idempotency-Key: bell-0900' --data 'slide 2' "http://$(http_of "$1")/v1/call/slide-push/room/1"; }
+push_ran() { push "$1" >/dev/null && grep -qi '^Mangoroad-Outcome: ran' "$work/headers"; }
+wait_for 10 push_ran 0
+first=$(push 0)
+second=$(push 1)
+[ "$first" = "$second" ] || fail "the key gave two answers: $first / $second"
+runs=$(cat "$work"/*-t?.jsonl | grep '"request-start"' | grep -c 'bell-0900' || true)
+[ "$runs" = 1 ] || fail "the keyed push ran $runs times"
+echo "three sendings, one run, the same answer"
+
 say "A batch job is submitted, leased, run and reported"
 job=$("$ctl" job submit --row bundle --team districts --key bundle-1 --processors 2 --memory-mib 1024 'run_ms=500' --json |
   sed -nE 's/.*"id": *"([0-9]+)".*/\1/p' | head -n 1)
--- a/src/libs/entry/entry_node.cc
+++ b/src/libs/entry/entry_node.cc
@@ -12,12 +12,15 @@
 #include "entry/answers.h"
 #include "entry/http_router.h"
 #include "entry/job_service.h"
+#include "entry/key_service.h"
 #include "entry/live_service.h"
 #include "entry/log_service.h"
 #include "entry/node_context.h"
 #include "entry/operator_service.h"
 #include "entry/target_service.h"
 #include "log/log.h"
+#include "membership/membership.h"
+#include "membership/membership_codec.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -81,7 +84,8 @@
   links.name = settings.name;
   links.listen = settings.peer_listen;
   links.seed = seed;
-  links.soft_kinds = {std::string(message_kind::kNodeStatus), std::string(message_kind::kTargets)};
+  links.soft_kinds = {std::string(message_kind::kGossip), std::string(message_kind::kNodeStatus),
+                      std::string(message_kind::kTargets)};
   for (const settings::Peer& peer : settings.peers) {
     const auto delay = settings.link_delays.find(peer.failure_domain);
     links.peers.push_back({peer.name, peer.endpoint,
@@ -90,6 +94,18 @@
   return links;
 }
 
+membership::MembershipConfig MemberSettings(const settings::Settings& settings,
+                                            std::uint64_t incarnation) {
+  membership::MembershipConfig config;
+  config.name = settings.name;
+  config.failure_domain = settings.failure_domain;
+  config.incarnation = incarnation;
+  std::ranges::transform(settings.peers, std::back_inserter(config.peers), [](const auto& peer) {
+    return membership::MembershipConfig::Peer{peer.name, peer.failure_domain};
+  });
+  return config;
+}
+
 }  // namespace
 
 struct EntryNode::Private {
@@ -103,8 +119,10 @@
   TargetDirectory directory;
   std::map<std::string, NodeStatus> nodes;
   LogService log;
+  membership::Membership members;
   NodeContext node;
   TargetService targets;
+  KeyService keys;
   LiveService live;
   JobService jobs;
   OperatorService operators;
@@ -126,6 +144,7 @@
   void Handle(const net::HttpExchangePtr& exchange);
   void AddRoutes();
   void Tick();
+  void TickMembership();
   void CheckDrained();
   base::Result<base::Done, EntryError> OpenLinks();
 };
@@ -133,15 +152,18 @@
 EntryNode::Private::Private(net::EventLoop& event_loop, const settings::Settings& node_settings)
     : loop(event_loop),
       settings(node_settings),
-      incarnation(event_loop.RandomBits() >> 1U),
+      // Grows with each start and differs between processes that start in the same millisecond.
+      incarnation((static_cast<std::uint64_t>(event_loop.WallNow()) << 16U) |
+                  (event_loop.RandomBits() & 0xffffU)),
       client(event_loop, {}),
       log(event_loop, *this->files, this->machine,
           [this](const consensus::ReplicaId& to, std::string message) {
             this->Send(to, message_kind::kRaft, std::move(message));
           }),
+      members(MemberSettings(node_settings, this->incarnation), event_loop.Now()),
       node{.loop = this->loop,
            .settings = this->settings,
-           .identity = node_settings.name + "#" + std::to_string(this->incarnation),
+           .identity = node_settings.name + "." + std::to_string(this->incarnation),
            .client = this->client,
            .metrics = this->metrics,
            .machine = this->machine,
@@ -150,9 +172,19 @@
            .send = [this](
                        std::string_view peer, std::string_view kind,
                        std::string payload) { return this->Send(peer, kind, std::move(payload)); },
-           .nodes = [this]() -> const std::map<std::string, NodeStatus>& { return this->nodes; }},
+           .nodes = [this]() -> const std::map<std::string, NodeStatus>& { return this->nodes; },
+           .alive =
+               [this](std::string_view peer) {
+                 return this->members.StateOf(peer) == membership::PeerState::kAlive;
+               },
+           .summary_of =
+               [this](std::string_view domain) {
+                 return this->members.SummaryOf(this->loop.Now(), domain);
+               },
+           .started = event_loop.Now()},
       targets(this->node),
-      live(this->node, this->targets.Holder()),
+      keys(this->node),
+      live(this->node, this->targets.Holder(), this->keys),
       jobs(this->node),
       operators(this->node,
                 {.owner = this->targets.Owner(),
@@ -195,6 +227,23 @@
        [](Private& self, const std::string& /*from*/, std::string_view payload) {
          self.jobs.OnTargetReply(payload);
        }},
+      {message_kind::kClaim, [](Private& self, const std::string& /*from*/,
+                                std::string_view payload) { self.keys.OnMessage(payload); }},
+      {message_kind::kRelay, [](Private& self, const std::string& from,
+                                std::string_view payload) { self.live.OnRelay(from, payload); }},
+      {message_kind::kRelayed,
+       [](Private& self, const std::string& from, std::string_view payload) {
+         self.live.OnRelayed(from, payload);
+       }},
+      {message_kind::kGossip,
+       [](Private& self, const std::string& from, std::string_view payload) {
+         const auto gossip = membership::DecodeGossip(payload);
+         if (base::Ok(gossip)) {
+           self.members.OnGossip(self.loop.Now(), from, base::ValueOf(gossip));
+         } else {
+           log::Warning(log::Category::kMembership, "malformed gossip refused", {{"peer", from}});
+         }
+       }},
       {message_kind::kNodeStatus, [](Private& self, const std::string& from,
                                      std::string_view payload) { self.OnStatus(from, payload); }},
   };
@@ -267,24 +316,54 @@
   });
 }
 
+void EntryNode::Private::TickMembership() {
+  const base::TimePoint now = this->loop.Now();
+  membership::DomainSummary summary;
+  summary.failure_domain = this->settings.failure_domain;
+  for (const auto& [id, info] : this->directory.All()) {
+    ++summary.targets;
+    if (info.leaving) continue;
+    summary.free_slots +=
+        static_cast<std::uint32_t>(std::max(0, info.capacity.slots - info.in_use.slots));
+  }
+  summary.queued = static_cast<std::uint32_t>(this->live.Waiting());
+  this->members.SetSummary(summary);
+  const membership::MembershipOutput output = this->members.Tick(now);
+  for (const membership::OutgoingGossip& gossip : output.messages) {
+    this->Send(gossip.peer, message_kind::kGossip, membership::Encode(gossip.message));
+  }
+  if (this->links != nullptr) {
+    for (const std::string& peer : output.replace_links) this->links->Replace(peer);
+  }
+  for (const membership::StateChange& change : output.changes) {
+    log::Info(log::Category::kMembership, "peer state changed",
+              {{"peer", change.peer},
+               {"state", base::NameOf(membership::kPeerStateNames, change.state)},
+               {"restarted", change.is_restarted}});
+  }
+}
+
 void EntryNode::Private::Tick() {
+  this->TickMembership();
+  this->targets.SetWantedSlots(this->live.WantedSlots());
   this->targets.Tick();
+  this->keys.Tick();
   this->live.Tick();
   this->jobs.Tick();
 }
 
 base::Result<base::Done, EntryError> EntryNode::Private::OpenLinks() {
-  wire::KeyRing keys;
+  wire::KeyRing ring;
   if (!this->settings.key_file.empty()) {
     auto read = wire::KeyRing::Load(this->settings.key_file);
     if (!base::Ok(read)) {
       return EntryError{EntryErrorKind::kBadSettings, base::ErrorOf(read).message};
     }
-    keys = std::move(base::ValueOf(read));
+    ring = std::move(base::ValueOf(read));
   }
   if (this->settings.peers.empty()) return base::Done{};
   this->links = std::make_unique<net::PeerLinks>(
-      this->loop.Base(), LinkSettings(this->settings, this->loop.RandomBits()), std::move(keys),
+      this->loop.Base(), LinkSettings(this->settings, this->loop.RandomBits()), std::move(ring),
       net::PeerLinkCallbacks{.on_envelope =
                                  [this](const std::string& peer, const wire::Envelope& envelope) {
                                    this->OnEnvelope(peer, envelope);
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -3,249 +3,284 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
-#include <deque>
+#include <array>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "entry/answers.h"
+#include "entry/live_request.h"
+#include "entry/request_log.h"
 #include "entry/responder.h"
 #include "log/log.h"
+#include "routing/connections.h"
+#include "routing/holder_slots.h"
+#include "routing/router.h"
 
 namespace mangoroad::entry {
 namespace {
 
-constexpr std::size_t kMaxQueued = 10'000;
-constexpr std::size_t kKeptRequests = 10'000;
 /// Reading from a target pauses while this much waits for the caller.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
-/// A connection idle for longer isn't given a request that must not run twice: it may have gone
-/// silent.
-constexpr base::Duration kMaxIdleNotIdempotent = std::chrono::seconds(1);
 constexpr base::Duration kMaxIdle = std::chrono::seconds(30);
-constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
+constexpr base::Duration kDefaultLinkDelay = std::chrono::milliseconds(4);
+/// Number of an answer that comes by relay, where attempts at targets are counted from 0.
+constexpr int kRelayAnswer = -1;
+
+constexpr std::array<std::pair<routing::RefusalKind, ErrorKind>, 7> kRefusals{{
+    {routing::RefusalKind::kUnknownRow, ErrorKind::kUnknownRow},
+    {routing::RefusalKind::kOverLimit, ErrorKind::kOverLimit},
+    {routing::RefusalKind::kOverloaded, ErrorKind::kOverloaded},
+    {routing::RefusalKind::kNoTarget, ErrorKind::kNoTarget},
+    {routing::RefusalKind::kDraining, ErrorKind::kDraining},
+    {routing::RefusalKind::kDeadline, ErrorKind::kDeadline},
+    {routing::RefusalKind::kTargetFailed, ErrorKind::kTargetFailed},
+}};
+
+ErrorKind ToErrorKind(routing::RefusalKind kind) {
+  const auto entry =
+      std::ranges::find(kRefusals, kind, [](const auto& candidate) { return candidate.first; });
+  return entry == kRefusals.end() ? ErrorKind::kOverloaded : entry->second;
+}
 
-std::optional<std::int64_t> ParseNumber(std::string_view text) {
-  std::int64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return value;
+Outcome ToOutcome(routing::Outcome outcome) {
+  switch (outcome) {
+    case routing::Outcome::kRan:
+      return Outcome::kRan;
+    case routing::Outcome::kNotRun:
+      return Outcome::kNotRun;
+    case routing::Outcome::kUnknown:
+      break;
+  }
+  return Outcome::kUnknown;
 }
 
-/// Headers that concern mangoroad itself and are set anew on the way to a target.
-bool IsOwnHeader(std::string_view name) {
-  constexpr std::string_view kPrefix = "mangoroad-";
-  return name.size() > kPrefix.size() &&
-         std::ranges::equal(name.substr(0, kPrefix.size()), kPrefix, [](char a, char b) {
-           return std::tolower(static_cast<unsigned char>(a)) == b;
-         });
+std::string_view MessageOf(routing::RefusalKind kind) {
+  switch (kind) {
+    case routing::RefusalKind::kOverLimit:
+      return "the row is over its limit";
+    case routing::RefusalKind::kOverloaded:
+      return "the request can't be run before its deadline";
+    case routing::RefusalKind::kNoTarget:
+      return "no target can take the request";
+    case routing::RefusalKind::kDraining:
+      return "this entry VM is being stopped";
+    case routing::RefusalKind::kDeadline:
+      return "the deadline has passed";
+    case routing::RefusalKind::kTargetFailed:
+      return "the target failed";
+    case routing::RefusalKind::kUnknownRow:
+      break;
+  }
+  return "the row isn't in the table";
 }
 
 }  // namespace
 
 struct LiveService::Private {
-  struct Request {
-    std::string id;
-    std::string row;
-    bool idempotent = false;
-    net::HttpMethod method = net::HttpMethod::kGet;
-    std::string target_path;
-    net::HttpHeaders headers;
-    std::string body;
-    base::TimePoint arrived;
-    base::TimePoint deadline;
-    std::shared_ptr<Responder> responder;
-    std::uint32_t attempts = 0;
-    std::uint32_t retries = 0;
-    // The attempt in progress.
-    std::string target;
-    lending::TargetIndex target_index = 0;
-    net::HttpClient::CallId call = 0;
-    bool answering = false;
-    bool refused_by_target = false;
-  };
-  using RequestPtr = std::shared_ptr<Request>;
-
-  /// What is kept of a finished request for `mangoctl explain`.
-  struct Finished {
-    std::string id;
-    std::string row;
-    std::string target;
-    Outcome outcome = Outcome::kUnknown;
-    std::string detail;
-    base::WallMilliseconds time_ms = 0;
-  };
-
-  struct RowFigures {
-    std::size_t in_progress = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t done = 0;
+  struct Relay {
+    std::uint64_t request = 0;
+    std::string peer;
+    bool to_home = false;  // not a decision of the router
+    std::uint32_t next_part = 0;
   };
 
   NodeContext& node;
   lending::Holder& holder;
-  std::deque<RequestPtr> queue;
-  std::map<std::string, RequestPtr> running;
-  std::map<std::string, RowFigures> rows;
-  std::deque<Finished> finished;
+  KeyService& keys;
+  routing::HolderSlots slots;
+  routing::Router router;
+  std::map<std::uint64_t, LiveRequestPtr> requests;
+  std::map<std::uint64_t, Relay> relays;
+  std::map<std::string, routing::RowIndex, std::less<>> row_numbers;
+  std::set<std::string, std::less<>> known_targets;
+  RequestLog finished;
+  std::uint64_t table_version = 0;
   std::uint64_t next_request = 1;
-  std::size_t next_target = 0;
-
-  Private(NodeContext& context, lending::Holder& capacity) : node(context), holder(capacity) {}
+  std::uint64_t next_relay = 1;
+  std::size_t next_peer = 0;
+
+  Private(NodeContext& context, lending::Holder& capacity, KeyService& key_service)
+      : node(context),
+        holder(capacity),
+        keys(key_service),
+        slots(capacity),
+        router({.domain = context.settings.failure_domain, .seed = context.loop.RandomBits()},
+               this->slots),
+        finished(context) {}
 
   void OnCall(const net::HttpExchangePtr& exchange, const PathParameters& parts);
-  void Refuse(const RequestPtr& request, ErrorKind kind, std::string_view message, Outcome outcome);
-  void Remember(const Request& request, Outcome outcome, std::string detail);
-  bool Dispatch(const RequestPtr& request);
-  const TargetInfo* Choose(const Request& request, bool& any_known);
-  void Send(const RequestPtr& request, const TargetInfo& target, lending::Fence fence);
-  void OnHeaders(const RequestPtr& request, const net::HttpAnswer& answer);
-  void OnBody(const RequestPtr& request, std::string_view bytes);
-  void OnEnd(const RequestPtr& request, std::optional<net::HttpFailure> failure);
-  void Retry(const RequestPtr& request, ErrorKind kind, std::string_view message, Outcome outcome);
-  void DrainQueue();
+  void Accept(const LiveRequestPtr& request);
+  void Claim(const LiveRequestPtr& request);
+  void OnClaimDecided(const LiveRequestPtr& request, const registry::Decision& decision);
+  void Route(const LiveRequestPtr& request);
+  void Act();
+  void Send(const routing::SendAction& action);
+  void Cancel(const routing::CancelAction& action);
+  void RelayTo(const LiveRequestPtr& request, const std::string& domain, bool to_home);
+  void OnRouterRefusal(const routing::RefuseAction& action);
+  void OnHeaders(const LiveRequestPtr& request, int attempt, const net::HttpAnswer& answer);
+  void OnBody(const LiveRequestPtr& request, int attempt, std::string_view bytes);
+  void OnEnd(const LiveRequestPtr& request, int attempt, std::optional<net::HttpFailure> failure);
+  void StartAnswer(const LiveRequestPtr& request, int from, int status,
+                   const net::HttpHeaders& headers);
+  void AddBody(const LiveRequestPtr& request, std::string_view bytes);
+  void Truncate(const LiveRequestPtr& request);
+  void Complete(const LiveRequestPtr& request);
+  void Refuse(const LiveRequestPtr& request, ErrorKind kind, std::string_view message,
+              Outcome outcome);
+  void EndRelay(std::uint64_t number, const LiveRequestPtr& request, Outcome outcome,
+                ErrorKind kind, std::string_view message);
+  void LoadRows(base::TimePoint now);
+  void LoadTargets(base::TimePoint now);
+  void LoadDomains();
+  LiveRequestPtr Find(std::uint64_t number) const;
 };
 
+LiveRequestPtr LiveService::Private::Find(std::uint64_t number) const {
+  const auto entry = this->requests.find(number);
+  return entry == this->requests.end() ? nullptr : entry->second;
+}
+
 void LiveService::Private::OnCall(const net::HttpExchangePtr& exchange,
                                   const PathParameters& parts) {
-  const base::TimePoint now = this->node.loop.Now();
-  const std::string& row_name = parts.front();
   if (this->node.draining) {
     ReplyError(*exchange, ErrorKind::kDraining, "this entry VM is being stopped");
     return;
   }
-  const table::Row* row = this->node.machine.State().Table().Current().Find(row_name);
+  const table::Row* row = this->node.machine.State().Table().Current().Find(parts.front());
   if (row == nullptr || row->work_class == table::WorkClass::kBatch) {
     ReplyError(*exchange, ErrorKind::kUnknownRow,
-               "no service or session row '" + row_name + "' in the table");
+               "no service or session row '" + parts.front() + "' in the table");
     return;
   }
-  std::int64_t deadline_ms = row->deadline_ms;
-  if (const auto text = exchange->headers.Find("Mangoroad-Deadline-Ms")) {
-    const auto parsed = ParseNumber(*text);
-    if (!parsed || *parsed < 1 || *parsed > kMaxDeadlineMs) {
-      ReplyError(*exchange, ErrorKind::kBadRequest,
-                 "Mangoroad-Deadline-Ms must be 1 to 86400000, not '" + std::string(*text) + "'");
-      return;
-    }
-    deadline_ms = *parsed;
-  }
-  auto request = std::make_shared<Request>();
-  request->id = fmt::format("{}-{}", this->node.identity, this->next_request++);
-  request->row = row_name;
-  request->idempotent = row->idempotent;
-  request->retries = row->retries;
-  request->method = exchange->method;
-  request->target_path = exchange->path;
-  if (!exchange->query.empty()) request->target_path += "?" + exchange->query;
-  for (const auto& [name, value] : exchange->headers.Fields()) {
-    if (!net::IsHopByHopHeader(name) && !IsOwnHeader(name)) request->headers.Add(name, value);
-  }
-  request->body = exchange->body;
-  request->arrived = now;
-  request->deadline =
-      now + std::chrono::milliseconds(deadline_ms == 0 ? kMaxDeadlineMs : deadline_ms);
-  request->responder = std::make_shared<HttpResponder>(exchange);
-  ++this->rows[row_name].in_progress;
-  if (this->Dispatch(request)) return;
-  if (this->queue.size() >= kMaxQueued) {
-    this->Refuse(request, ErrorKind::kOverloaded, "the queue is full", Outcome::kNotRun);
+  auto read = ReadLiveRequest(*exchange, *row, this->node.loop.Now());
+  if (!base::Ok(read)) {
+    ReplyError(*exchange, ErrorKind::kBadRequest, base::ErrorOf(read));
     return;
   }
-  this->queue.push_back(std::move(request));
+  const LiveRequestPtr& request = base::ValueOf(read);
+  request->responder = std::make_shared<HttpResponder>(exchange);
+  this->Accept(request);
 }
 
-void LiveService::Private::Remember(const Request& request, Outcome outcome, std::string detail) {
-  RowFigures& figures = this->rows[request.row];
-  --figures.in_progress;
-  if (outcome == Outcome::kRan) {
-    ++figures.done;
+void LiveService::Private::Accept(const LiveRequestPtr& request) {
+  request->number = this->next_request++;
+  request->id = fmt::format("{}-{}", this->node.identity, request->number);
+  this->requests.emplace(request->number, request);
+  this->finished.Begin(request->row.row);
+  if (request->row.idempotent || request->key.empty()) {
+    this->Route(request);
+    return;
+  }
+  const auto home = this->keys.HomeOf(request->key, request->row.place);
+  if (home == this->node.settings.failure_domain) {
+    this->Claim(request);
+  } else if (home && !request->relayed) {
+    this->RelayTo(request, *home, /*to_home=*/true);
   } else {
-    ++figures.refused;
-  }
-  this->running.erase(request.id);
-  this->node.metrics
-      .GetCounter(
-          "mangoroad_requests_total", "Live requests by outcome",
-          {{"row", request.row}, {"outcome", std::string(base::NameOf(kOutcomeNames, outcome))}})
-      .Add();
-  this->node.metrics
-      .GetHistogram("mangoroad_request_seconds", "Time from arrival to the end of the answer",
-                    {{"row", request.row}})
-      .Record(this->node.loop.Now() - request.arrived);
-  this->finished.push_back({request.id, request.row, request.target, outcome, std::move(detail),
-                            this->node.loop.WallNow()});
-  if (this->finished.size() > kKeptRequests) this->finished.pop_front();
-}
-
-void LiveService::Private::Refuse(const RequestPtr& request, ErrorKind kind,
-                                  std::string_view message, Outcome outcome) {
-  request->responder->Refuse(kind, message, outcome);
-  this->Remember(*request, outcome, std::string(message));
+    this->Refuse(request, ErrorKind::kHomeUnreachable, "the home of the key isn't known here",
+                 Outcome::kNotRun);
+  }
 }
 
-/// The next target in turn that serves the row and has a free slot.
-const TargetInfo* LiveService::Private::Choose(const Request& request, bool& any_known) {
-  const base::TimePoint now = this->node.loop.Now();
-  const auto& targets = this->node.directory.All();
-  if (targets.empty()) return nullptr;
-  auto candidate =
-      std::next(targets.begin(), static_cast<std::ptrdiff_t>(this->next_target++ % targets.size()));
-  for (std::size_t tried = 0; tried < targets.size(); ++tried, ++candidate) {
-    if (candidate == targets.end()) candidate = targets.begin();
-    const TargetInfo& info = candidate->second;
-    const bool serves =
-        info.kinds.empty() || std::ranges::find(info.kinds, request.row) != info.kinds.end();
-    if (!serves || info.leaving || this->node.machine.State().Targets().IsDrained(info.id)) {
-      continue;
+void LiveService::Private::Claim(const LiveRequestPtr& request) {
+  registry::ClaimRequest claim;
+  claim.key = request->row.row + "/" + request->key;
+  claim.digest = DigestOf(*request);
+  claim.place = request->row.place;
+  claim.key_time_ms = request->key_time_ms;
+  claim.deadline = request->deadline;
+  this->keys.Claim(std::move(claim), [this, request](const registry::Decision& decision) {
+    this->OnClaimDecided(request, decision);
+  });
+}
+
+void LiveService::Private::OnClaimDecided(const LiveRequestPtr& request,
+                                          const registry::Decision& decision) {
+  switch (decision.kind) {
+    case registry::DecisionKind::kRun:
+      request->claimed = true;
+      request->recorded.emplace();
+      this->Route(request);
+      return;
+    case registry::DecisionKind::kAnswer: {
+      net::HttpHeaders headers;
+      for (const auto& [name, value] : decision.answer.headers) headers.Add(name, value);
+      this->StartAnswer(request, kRelayAnswer, decision.answer.status, headers);
+      request->responder->Body(decision.answer.body);
+      this->Complete(request);
+      return;
     }
-    any_known = true;
-    const auto index = this->holder.Find(info.id);
-    if (index && this->holder.Free(now, *index).slots > 0) return &info;
+    case registry::DecisionKind::kInDoubt:
+      this->Refuse(request, ErrorKind::kInDoubt,
+                   "an earlier request with this key was sent and its answer isn't known",
+                   Outcome::kUnknown);
+      return;
+    case registry::DecisionKind::kKeyReused:
+      this->Refuse(request, ErrorKind::kKeyReused, "the key was used for another request",
+                   Outcome::kNotRun);
+      return;
+    case registry::DecisionKind::kNotRun:
+      this->Refuse(request, ErrorKind::kHomeUnreachable, decision.reason, Outcome::kNotRun);
+      return;
   }
-  return nullptr;
 }
 
-/// True when the request was sent or refused; false when it has to wait.
-bool LiveService::Private::Dispatch(const RequestPtr& request) {
-  const base::TimePoint now = this->node.loop.Now();
-  if (now >= request->deadline) {
-    this->Refuse(request, ErrorKind::kDeadline, "no slot was free before the deadline",
-                 Outcome::kNotRun);
-    return true;
+void LiveService::Private::Route(const LiveRequestPtr& request) {
+  const auto row = this->row_numbers.find(request->row.row);
+  if (row == this->row_numbers.end()) {
+    this->Refuse(request, ErrorKind::kUnknownRow, "the row isn't in the table", Outcome::kNotRun);
+    return;
   }
-  bool any_known = false;
-  const TargetInfo* target = this->Choose(*request, any_known);
-  if (target == nullptr) {
-    if (any_known) return false;
-    this->Refuse(request, ErrorKind::kNoTarget, "no target serves row '" + request->row + "'",
-                 Outcome::kNotRun);
-    return true;
+  // A keyed request stays in its home domain, where its claim is.
+  this->router.Submit(this->node.loop.Now(), {.id = request->number,
+                                              .row = row->second,
+                                              .deadline = request->deadline,
+                                              .relayed = request->relayed || request->claimed});
+  this->Act();
+}
+
+/// Carries out the router's decisions, and those that follow from them.
+void LiveService::Private::Act() {
+  for (;;) {
+    const routing::Actions actions = this->router.TakeActions();
+    const bool empty = actions.send.empty() && actions.cancel.empty() && actions.relay.empty() &&
+                       actions.refuse.empty() && actions.complete.empty();
+    if (empty) return;
+    for (const auto& action : actions.send) this->Send(action);
+    for (const auto& action : actions.cancel) this->Cancel(action);
+    for (const auto& action : actions.relay) {
+      if (const auto request = this->Find(action.id)) {
+        this->RelayTo(request, action.domain, /*to_home=*/false);
+      }
+    }
+    for (const auto& action : actions.refuse) this->OnRouterRefusal(action);
+    for (const auto& action : actions.complete) {
+      if (const auto request = this->Find(action.id)) this->Complete(request);
+    }
   }
-  const auto index = this->holder.Find(target->id);
-  const auto fence = this->holder.Start(now, *index);
-  if (!fence) return false;
-  request->target_index = *index;
-  this->Send(request, *target, *fence);
-  return true;
 }
 
-void LiveService::Private::Send(const RequestPtr& request, const TargetInfo& target,
-                                lending::Fence fence) {
+void LiveService::Private::Send(const routing::SendAction& action) {
   const base::TimePoint now = this->node.loop.Now();
-  ++request->attempts;
-  request->target = target.id;
-  request->refused_by_target = false;
+  const LiveRequestPtr request = this->Find(action.id);
+  const std::string& target = this->holder.NameOf(action.target);
+  const TargetInfo* info = this->node.directory.Find(target);
+  const auto address = info == nullptr ? std::nullopt : net::ParseAddress(info->address);
+  if (request == nullptr || !address || now >= request->deadline) {
+    this->router.OnAttemptEnd(now, {action.id, action.attempt, routing::AttemptResult::kNotSent});
+    return;
+  }
   net::HttpClientRequest call;
-  call.address = *net::ParseAddress(target.address);
+  call.address = *address;
   call.method = request->method;
   call.target = request->target_path;
   call.headers = request->headers;
-  call.headers.Add("Mangoroad-Row", request->row);
   call.headers.Add("Mangoroad-Request-Id", request->id);
-  call.headers.Add("Mangoroad-Fence", fmt::format("{}.{}", fence.incarnation, fence.epoch));
+  call.headers.Add("Mangoroad-Fence",
+                   fmt::format("{}.{}", action.fence.incarnation, action.fence.epoch));
   call.headers.Add("Mangoroad-Holder", this->node.identity);
   const base::Duration left = request->deadline - now;
   call.headers.Add(
@@ -253,88 +288,250 @@
       std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
   call.body = request->body;
   call.timeout = left;
-  call.max_idle = request->idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
-  this->running[request->id] = request;
-  request->call = this->node.client.Send(
+  call.max_idle = request->row.idempotent ? kMaxIdle : routing::kMostIdleForNonIdempotent;
+  Attempt& attempt = request->attempts[action.attempt];
+  attempt.target = target;
+  request->last_target = target;
+  const int number = action.attempt;
+  attempt.call = this->node.client.Send(
       std::move(call),
-      {.on_headers = [this, request](const auto& answer) { this->OnHeaders(request, answer); },
-       .on_body = [this, request](std::string_view bytes) { this->OnBody(request, bytes); },
-       .on_end = [this, request](auto failure) { this->OnEnd(request, failure); }});
+      {.on_headers = [this, request,
+                      number](const auto& answer) { this->OnHeaders(request, number, answer); },
+       .on_body = [this, request,
+                   number](std::string_view bytes) { this->OnBody(request, number, bytes); },
+       .on_end = [this, request, number](auto failure) { this->OnEnd(request, number, failure); }});
+}
+
+void LiveService::Private::Cancel(const routing::CancelAction& action) {
+  const LiveRequestPtr request = this->Find(action.id);
+  if (request == nullptr) return;
+  const auto attempt = request->attempts.find(action.attempt);
+  if (attempt != request->attempts.end()) this->node.client.Cancel(attempt->second.call);
 }
 
-void LiveService::Private::OnHeaders(const RequestPtr& request, const net::HttpAnswer& answer) {
-  request->refused_by_target =
+void LiveService::Private::OnRouterRefusal(const routing::RefuseAction& action) {
+  const LiveRequestPtr request = this->Find(action.id);
+  if (request == nullptr) return;
+  for (const auto& [number, attempt] : request->attempts) this->node.client.Cancel(attempt.call);
+  this->Refuse(request, ToErrorKind(action.kind), MessageOf(action.kind),
+               ToOutcome(action.outcome));
+}
+
+void LiveService::Private::OnHeaders(const LiveRequestPtr& request, int attempt,
+                                     const net::HttpAnswer& answer) {
+  Attempt& sent = request->attempts[attempt];
+  sent.status = answer.status;
+  sent.refused_by_target =
       answer.headers.Find(kOutcomeHeader) == base::NameOf(kOutcomeNames, Outcome::kNotRun);
-  if (request->refused_by_target) return;
-  request->answering = true;
-  request->responder->OnClosed([this, request] { this->node.client.Cancel(request->call); });
-  request->responder->OnDrained([this, request] { this->node.client.Pause(request->call, false); });
-  request->responder->Start(answer.status, answer.headers);
+  if (sent.refused_by_target || request->answering) return;
+  request->last_target = sent.target;
+  this->StartAnswer(request, attempt, answer.status, answer.headers);
+  request->responder->OnClosed([this, call = sent.call] { this->node.client.Cancel(call); });
+  request->responder->OnDrained([this, call = sent.call] { this->node.client.Pause(call, false); });
 }
 
-void LiveService::Private::OnBody(const RequestPtr& request, std::string_view bytes) {
-  if (!request->answering) return;
+void LiveService::Private::StartAnswer(const LiveRequestPtr& request, int from, int status,
+                                       const net::HttpHeaders& headers) {
+  request->answering = from;
+  if (request->recorded) {
+    request->recorded->status = status;
+    std::ranges::copy_if(headers.Fields(), std::back_inserter(request->recorded->headers),
+                         [](const auto& field) { return !net::IsHopByHopHeader(field.first); });
+  }
+  request->responder->Start(status, headers);
+}
+
+void LiveService::Private::AddBody(const LiveRequestPtr& request, std::string_view bytes) {
+  if (request->recorded) {
+    request->recorded->body += bytes;
+    if (request->recorded->body.size() > registry::kLargestAnswer) request->recorded.reset();
+  }
   request->responder->Body(bytes);
+}
+
+void LiveService::Private::OnBody(const LiveRequestPtr& request, int attempt,
+                                  std::string_view bytes) {
+  if (request->answering != attempt) return;
+  this->AddBody(request, bytes);
   if (request->responder->UnsentBytes() > kMaxUnsentBytes) {
-    this->node.client.Pause(request->call, true);
+    this->node.client.Pause(request->attempts[attempt].call, true);
   }
 }
 
-void LiveService::Private::OnEnd(const RequestPtr& request,
+/// The caller sees that its answer is incomplete; the request did run.
+void LiveService::Private::Truncate(const LiveRequestPtr& request) {
+  request->truncated = true;
+  request->recorded.reset();
+  request->responder->Abort();
+}
+
+void LiveService::Private::OnEnd(const LiveRequestPtr& request, int attempt,
                                  std::optional<net::HttpFailure> failure) {
-  const bool may_still_run = failure && *failure != net::HttpFailure::kNotConnected;
-  if (may_still_run) {
-    // The target stops the request at its deadline; until then its slot counts as taken.
-    this->holder.Abandon(request->target_index, request->deadline);
-  } else {
-    this->holder.End(request->target_index);
+  using routing::AttemptResult;
+  const Attempt& sent = request->attempts[attempt];
+  AttemptResult result = AttemptResult::kRan;
+  if (request->answering == attempt) {
+    if (failure) this->Truncate(request);
+    result = failure || sent.status >= 500 ? AttemptResult::kRanWithError : AttemptResult::kRan;
+  } else if (sent.refused_by_target) {
+    result = AttemptResult::kRefused;
+  } else if (failure == net::HttpFailure::kNotConnected) {
+    result = AttemptResult::kNotSent;
+  } else if (failure) {
+    result = AttemptResult::kBroken;
   }
+  this->router.OnAttemptEnd(this->node.loop.Now(), {request->number, attempt, result});
+  this->Act();
+}
+
+void LiveService::Private::Complete(const LiveRequestPtr& request) {
+  if (this->requests.erase(request->number) == 0) return;
+  if (!request->answering) {
+    // The router completes only what was answered; a request without an answer has an unknown
+    // outcome.
+    request->responder->Refuse(ErrorKind::kTargetFailed, "the answer was lost", Outcome::kUnknown);
+    this->finished.End(*request, Outcome::kUnknown, "the answer was lost");
+    return;
+  }
+  if (!request->truncated) request->responder->End();
+  if (request->claimed && request->recorded) {
+    this->keys.Finish(request->row.row + "/" + request->key, *request->recorded);
+  }
+  this->finished.End(*request, request->truncated ? Outcome::kUnknown : Outcome::kRan,
+                     request->truncated ? "the answer was cut off" : "answered");
+}
+
+void LiveService::Private::Refuse(const LiveRequestPtr& request, ErrorKind kind,
+                                  std::string_view message, Outcome outcome) {
+  if (this->requests.erase(request->number) == 0) return;
   if (request->answering) {
-    if (failure) {
-      request->responder->Abort();
-      this->Remember(
-          *request, Outcome::kUnknown,
-          "the answer was cut off: " + std::string(base::NameOf(net::kHttpFailureNames, *failure)));
-    } else {
-      request->responder->End();
-      this->Remember(*request, Outcome::kRan, "answered");
-    }
-  } else if (request->refused_by_target) {
-    this->Retry(request, ErrorKind::kOverloaded, "the target refused the request",
-                Outcome::kNotRun);
-  } else if (failure == net::HttpFailure::kNotConnected) {
-    this->Retry(request, ErrorKind::kTargetFailed, "the target can't be reached", Outcome::kNotRun);
-  } else if (failure == net::HttpFailure::kTimeout) {
-    this->Refuse(request, ErrorKind::kDeadline, "no answer before the deadline", Outcome::kUnknown);
+    if (!request->truncated) request->responder->Abort();
+    outcome = Outcome::kUnknown;
   } else {
-    this->Retry(request, ErrorKind::kTargetFailed, "the target didn't answer", Outcome::kUnknown);
+    request->responder->Refuse(kind, message, outcome);
+  }
+  if (request->claimed && outcome == Outcome::kNotRun) {
+    this->keys.Release(request->row.row + "/" + request->key);
   }
-  this->DrainQueue();
+  this->finished.End(*request, outcome, std::string(message));
 }
 
-/// Sends the request to another target when that can't run it twice, else answers it.
-void LiveService::Private::Retry(const RequestPtr& request, ErrorKind kind,
-                                 std::string_view message, Outcome outcome) {
-  const bool safe = outcome == Outcome::kNotRun || request->idempotent;
-  if (!safe || request->attempts > request->retries || this->node.loop.Now() >= request->deadline) {
-    this->Refuse(request, kind, message, outcome);
+/// Sends a request to an entry VM of another failure domain.
+void LiveService::Private::RelayTo(const LiveRequestPtr& request, const std::string& domain,
+                                   bool to_home) {
+  const base::TimePoint now = this->node.loop.Now();
+  const auto configured = this->node.settings.link_delays.find(domain);
+  const base::Duration delay =
+      configured == this->node.settings.link_delays.end() ? kDefaultLinkDelay : configured->second;
+  std::vector<std::string> peers;
+  for (const settings::Peer& peer : this->node.settings.peers) {
+    if (peer.failure_domain == domain && this->node.alive(peer.name)) peers.push_back(peer.name);
+  }
+  const std::uint64_t number = this->next_relay++;
+  // The answer needs the way back, too, so that it arrives before the caller's deadline.
+  const std::string payload =
+      EncodeRelayRequest(ToRelay(*request, number, request->deadline - now - 2 * delay));
+  for (std::size_t tried = 0; tried < peers.size(); ++tried) {
+    const std::string& peer = peers[this->next_peer++ % peers.size()];
+    if (!this->node.send(peer, message_kind::kRelay, payload)) continue;
+    this->relays.emplace(number, Relay{request->number, peer, to_home, 0});
     return;
   }
-  this->queue.push_front(request);
+  if (to_home) {
+    this->Refuse(request, ErrorKind::kHomeUnreachable,
+                 "failure domain '" + domain + "', the home of the key, can't be reached",
+                 Outcome::kNotRun);
+    return;
+  }
+  this->router.OnRelayEnd(now, request->number, routing::Outcome::kNotRun);
 }
 
-void LiveService::Private::DrainQueue() {
-  while (!this->queue.empty()) {
-    const RequestPtr request = this->queue.front();
-    this->queue.pop_front();
-    if (this->Dispatch(request)) continue;
-    this->queue.push_front(request);
+void LiveService::Private::EndRelay(std::uint64_t number, const LiveRequestPtr& request,
+                                    Outcome outcome, ErrorKind kind, std::string_view message) {
+  const bool to_home = this->relays.at(number).to_home;
+  this->relays.erase(number);
+  if (to_home) {
+    if (outcome == Outcome::kRan) {
+      this->Complete(request);
+    } else {
+      this->Refuse(request, kind, message, outcome);
+    }
     return;
   }
+  const auto router_outcome = outcome == Outcome::kRan      ? routing::Outcome::kRan
+                              : outcome == Outcome::kNotRun ? routing::Outcome::kNotRun
+                                                            : routing::Outcome::kUnknown;
+  this->router.OnRelayEnd(this->node.loop.Now(), request->number, router_outcome);
+  this->Act();
+}
+
+void LiveService::Private::LoadRows(base::TimePoint /*now*/) {
+  const state::TableState& table = this->node.machine.State().Table();
+  if (table.Version() == this->table_version) return;
+  this->table_version = table.Version();
+  std::vector<routing::RowSpec> rows;
+  this->row_numbers.clear();
+  for (const table::Row& row : table.Current().Rows()) {
+    if (row.work_class == table::WorkClass::kBatch) continue;
+    this->row_numbers.emplace(row.row, static_cast<routing::RowIndex>(rows.size()));
+    rows.push_back({.name = row.row,
+                    .weight = static_cast<int>(row.weight),
+                    .limit_inflight = static_cast<int>(row.limit_inflight),
+                    .limit_rate = static_cast<double>(row.limit_rate),
+                    .retries = static_cast<int>(row.retries),
+                    .idempotent = row.idempotent,
+                    .place = row.place});
+  }
+  this->router.SetRows(std::move(rows));
+}
+
+/// Tells the router which targets it may use.
+void LiveService::Private::LoadTargets(base::TimePoint now) {
+  const state::TargetState& marks = this->node.machine.State().Targets();
+  std::set<std::string, std::less<>> present;
+  for (const auto& [id, info] : this->node.directory.All()) {
+    const auto index = this->holder.Find(id);
+    if (!index) continue;
+    const bool serves =
+        info.kinds.empty() || std::ranges::any_of(info.kinds, [this](const auto& kind) {
+          return this->row_numbers.contains(kind);
+        });
+    const bool usable = serves && !info.leaving && !marks.IsDrained(id) &&
+                        !marks.IsLost(id, info.fence.incarnation);
+    this->router.SetTarget(now, *index, usable);
+    present.insert(id);
+  }
+  for (const std::string& gone : this->known_targets) {
+    if (present.contains(gone)) continue;
+    if (const auto index = this->holder.Find(gone)) this->router.SetTarget(now, *index, false);
+  }
+  this->known_targets = std::move(present);
+  for (const lending::TargetIndex changed : this->holder.TakeChanged()) {
+    this->router.RefreshTarget(now, changed);
+  }
 }
 
-LiveService::LiveService(NodeContext& node, lending::Holder& holder)
-    : d(std::make_unique<Private>(node, holder)) {}
+void LiveService::Private::LoadDomains() {
+  std::map<std::string, routing::DomainState> domains;
+  for (const settings::Peer& peer : this->node.settings.peers) {
+    if (peer.failure_domain == this->node.settings.failure_domain) continue;
+    routing::DomainState& domain = domains[peer.failure_domain];
+    domain.name = peer.failure_domain;
+    const auto delay = this->node.settings.link_delays.find(peer.failure_domain);
+    domain.link_delay =
+        delay == this->node.settings.link_delays.end() ? kDefaultLinkDelay : delay->second;
+    const auto summary = this->node.summary_of(peer.failure_domain);
+    if (!summary || !this->node.alive(peer.name)) continue;
+    domain.usable = summary->free_slots > 0;
+  }
+  std::vector<routing::DomainState> list;
+  std::ranges::transform(domains, std::back_inserter(list),
+                         [](const auto& entry) { return entry.second; });
+  this->router.SetDomains(std::move(list));
+}
+
+LiveService::LiveService(NodeContext& node, lending::Holder& holder, KeyService& keys)
+    : d(std::make_unique<Private>(node, holder, keys)) {}
 LiveService::~LiveService() = default;
 
 void LiveService::AddRoutes(HttpRouter& router) {
@@ -342,62 +539,132 @@
              [this](const auto& exchange, const auto& parts) { this->d->OnCall(exchange, parts); });
 }
 
-void LiveService::Tick() { this->d->DrainQueue(); }
+void LiveService::Tick() {
+  const base::TimePoint now = this->d->node.loop.Now();
+  this->d->LoadRows(now);
+  this->d->LoadTargets(now);
+  this->d->LoadDomains();
+  this->d->router.Tick(now);
+  this->d->Act();
+  // An answer that doesn't come by the deadline has an unknown outcome.
+  std::vector<std::uint64_t> late;
+  for (const auto& [number, relay] : this->d->relays) {
+    const auto request = this->d->Find(relay.request);
+    if (request == nullptr || now >= request->deadline) late.push_back(number);
+  }
+  for (const std::uint64_t number : late) {
+    const auto request = this->d->Find(this->d->relays.at(number).request);
+    if (request == nullptr) {
+      this->d->relays.erase(number);
+    } else {
+      this->d->EndRelay(number, request, Outcome::kUnknown, ErrorKind::kDeadline,
+                        "no answer from the other failure domain before the deadline");
+    }
+  }
+}
 
-std::size_t LiveService::InProgress() const {
-  return this->d->queue.size() + this->d->running.size();
+void LiveService::OnRelay(const std::string& peer, std::string_view payload) {
+  const auto relay = DecodeRelayRequest(payload);
+  if (!relay) {
+    log::Warning(log::Category::kRouting, "malformed relay refused", {{"peer", peer}});
+    return;
+  }
+  const auto responder =
+      std::make_shared<RelayResponder>(relay->request, [this, peer](std::string frame) {
+        this->d->node.send(peer, message_kind::kRelayed, std::move(frame));
+      });
+  const table::Row* row = this->d->node.machine.State().Table().Current().Find(relay->row);
+  const auto request =
+      row == nullptr ? std::nullopt : FromRelay(*relay, *row, this->d->node.loop.Now());
+  if (!request || this->d->node.draining) {
+    responder->Refuse(ErrorKind::kNoTarget, "the relayed request can't be run here",
+                      Outcome::kNotRun);
+    return;
+  }
+  (*request)->responder = responder;
+  this->d->Accept(*request);
 }
 
+void LiveService::OnRelayed(const std::string& peer, std::string_view payload) {
+  const auto part = DecodeRelayAnswer(payload);
+  if (!part) {
+    log::Warning(log::Category::kRouting, "malformed relayed answer refused", {{"peer", peer}});
+    return;
+  }
+  const auto relay = this->d->relays.find(part->request);
+  // A late part of an answer that was given up must not reach another request.
+  if (relay == this->d->relays.end() || relay->second.peer != peer) return;
+  const auto request = this->d->Find(relay->second.request);
+  if (request == nullptr) {
+    this->d->relays.erase(relay);
+    return;
+  }
+  if (part->sequence != relay->second.next_part++) {
+    // A part was lost with an earlier connection, so the rest can't complete the answer.
+    if (request->answering) this->d->Truncate(request);
+    this->d->EndRelay(part->request, request,
+                      request->answering ? Outcome::kRan : Outcome::kUnknown,
+                      ErrorKind::kTargetFailed, "a part of the answer was lost");
+    return;
+  }
+  switch (part->part) {
+    case RelayPart::kRefuse:
+      this->d->EndRelay(part->request, request, part->outcome, part->error, part->bytes);
+      return;
+    case RelayPart::kStart: {
+      net::HttpHeaders headers;
+      for (const auto& [name, value] : part->headers) headers.Add(name, value);
+      this->d->StartAnswer(request, kRelayAnswer, part->status, headers);
+      return;
+    }
+    case RelayPart::kBody:
+      if (request->answering == kRelayAnswer) this->d->AddBody(request, part->bytes);
+      return;
+    case RelayPart::kEnd:
+      this->d->EndRelay(part->request, request, Outcome::kRan, ErrorKind::kTargetFailed, {});
+      return;
+    case RelayPart::kAbort:
+      if (request->answering) this->d->Truncate(request);
+      this->d->EndRelay(part->request, request,
+                        request->answering ? Outcome::kRan : Outcome::kUnknown,
+                        ErrorKind::kTargetFailed, "the answer was cut off");
+      return;
+  }
+}
+
+void LiveService::OnPeerLost(const std::string& peer) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, relay] : this->d->relays) {
+    if (relay.peer == peer) lost.push_back(number);
+  }
+  for (const std::uint64_t number : lost) {
+    const auto request = this->d->Find(this->d->relays.at(number).request);
+    if (request == nullptr) {
+      this->d->relays.erase(number);
+      continue;
+    }
+    if (request->answering) this->d->Truncate(request);
+    this->d->EndRelay(number, request, request->answering ? Outcome::kRan : Outcome::kUnknown,
+                      ErrorKind::kTargetFailed, "the link to the other failure domain was lost");
+  }
+}
+
+int LiveService::WantedSlots() const { return this->d->router.WantedSlotsPerTarget(); }
+
+std::size_t LiveService::Waiting() const { return this->d->router.Waiting(); }
+
+std::size_t LiveService::InProgress() const { return this->d->requests.size(); }
+
 std::vector<std::string> LiveService::RowsInUse() const {
-  std::vector<std::string> used;
-  for (const auto& [row, figures] : this->d->rows) {
-    if (figures.in_progress > 0) used.push_back(row);
-  }
-  return used;
-}
-
-std::string LiveService::RowStatus() const {
-  nlohmann::json items = nlohmann::json::array();
-  for (const table::Row& row : this->d->node.machine.State().Table().Current().Rows()) {
-    const auto figures = this->d->rows.find(row.row);
-    const auto known = figures == this->d->rows.end() ? Private::RowFigures{} : figures->second;
-    const auto queued = std::ranges::count_if(
-        this->d->queue, [&](const auto& request) { return request->row == row.row; });
-    const auto p99 =
-        this->d->node.metrics
-            .GetHistogram("mangoroad_request_seconds", "Time from arrival to the end of the answer",
-                          {{"row", row.row}})
-            .Quantile(0.99);
-    items.push_back({{"row", row.row},
-                     {"class", base::NameOf(table::kWorkClassNames, row.work_class)},
-                     {"in_progress", known.in_progress},
-                     {"queued", queued},
-                     {"rate", known.done},
-                     {"p99_ms", static_cast<double>(p99.count()) / 1000},
-                     {"refused_rate", known.refused},
-                     {"running_tasks", 0}});
-  }
-  return items.dump();
+  std::set<std::string> used;
+  for (const auto& [number, request] : this->d->requests) used.insert(request->row.row);
+  return {used.begin(), used.end()};
 }
 
+std::string LiveService::RowStatus() const { return this->d->finished.RowStatus(); }
+
 std::string LiveService::Explain(const std::string& request) const {
-  const auto entry = std::ranges::find(this->d->finished, request, &Private::Finished::id);
-  if (entry == this->d->finished.end()) return {};
-  const std::string_view outcome = base::NameOf(kOutcomeNames, entry->outcome);
-  const nlohmann::json body{
-      {"id", entry->id},
-      {"kind", "request"},
-      {"row", entry->row},
-      {"state", outcome},
-      {"summary", entry->detail},
-      {"steps", nlohmann::json::array(
-                    {{{"time_ms", entry->time_ms}, {"step", outcome}, {"detail", entry->detail}}})},
-      {"candidates",
-       nlohmann::json::array({{{"target", entry->target},
-                               {"failure_domain", this->d->node.settings.failure_domain},
-                               {"verdict", "chosen"},
-                               {"detail", ""}}})}};
-  return body.dump();
+  return this->d->finished.Explain(request);
 }
 
 }  // namespace mangoroad::entry
--- a/src/libs/entry/live_service.h
+++ b/src/libs/entry/live_service.h
@@ -1,4 +1,5 @@
-// Live requests of callers: admission, the choice of a target, and the whole answer back.
+// Live requests of callers: admission and routing, relays between failure domains, and the whole
+// answer back.
 #pragma once
 
 #include <memory>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "entry/http_router.h"
+#include "entry/key_service.h"
 #include "entry/node_context.h"
 #include "lending/holder.h"
 
@@ -14,14 +16,23 @@
 
 class LiveService {
  public:
-  LiveService(NodeContext& node, lending::Holder& holder);
+  LiveService(NodeContext& node, lending::Holder& holder, KeyService& keys);
   ~LiveService();
   LiveService(const LiveService&) = delete;
   LiveService& operator=(const LiveService&) = delete;
 
   void AddRoutes(HttpRouter& router);
   void Tick();
-
+  /// A request that another entry VM relayed here, and parts of the answer to one relayed from
+  /// here.
+  void OnRelay(const std::string& peer, std::string_view payload);
+  void OnRelayed(const std::string& peer, std::string_view payload);
+  /// The link to an entry VM ended: answers to what was relayed there can't arrive any more.
+  void OnPeerLost(const std::string& peer);
+
+  /// Slots wanted of each target, including those in use.
+  [[nodiscard]] int WantedSlots() const;
+  [[nodiscard]] std::size_t Waiting() const;
   [[nodiscard]] std::size_t InProgress() const;
   [[nodiscard]] std::vector<std::string> RowsInUse() const;
   /// JSON array with the figures of each row.
--- a/src/libs/entry/node_context.h
+++ b/src/libs/entry/node_context.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -10,6 +12,7 @@
 #include "entry/cluster_machine.h"
 #include "entry/log_service.h"
 #include "entry/target_directory.h"
+#include "membership/gossip.h"
 #include "metrics/metrics.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -28,6 +31,7 @@
 inline constexpr std::string_view kRelayed = "relayed";
 inline constexpr std::string_view kTargetReport = "target-report";
 inline constexpr std::string_view kTargetReply = "target-reply";
+inline constexpr std::string_view kGossip = "gossip";
 inline constexpr std::string_view kNodeStatus = "node-status";
 }  // namespace message_kind
 
@@ -47,7 +51,7 @@
 struct NodeContext {
   net::EventLoop& loop;
   const settings::Settings& settings;
-  std::string identity;  // name#incarnation, unique for each start of the process
+  std::string identity;  // name.incarnation, unique for each start of the process
   net::HttpClient& client;
   metrics::Registry& metrics;
   ClusterMachine& machine;
@@ -55,8 +59,13 @@
   TargetDirectory& directory;
   /// Sends to another entry VM by name; false when there is no link to it now.
   std::function<bool(std::string_view peer, std::string_view kind, std::string payload)> send;
-  /// Other entry VMs that are heard from, by name.
+  /// What other entry VMs last told of themselves, by name.
   std::function<const std::map<std::string, NodeStatus>&()> nodes;
+  /// Whether an entry VM is heard and hears this one.
+  std::function<bool(std::string_view peer)> alive;
+  /// Free capacity of another failure domain; nothing when it isn't known or old.
+  std::function<std::optional<membership::DomainSummary>(std::string_view domain)> summary_of;
+  base::TimePoint started;
   bool draining = false;
 };
 
--- a/src/libs/entry/target_service.cc
+++ b/src/libs/entry/target_service.cc
@@ -25,7 +25,7 @@
 constexpr std::int64_t kMaxAmount = 1'000'000;
 
 std::string NameOfIdentity(std::string_view identity) {
-  return std::string(identity.substr(0, identity.find('#')));
+  return std::string(identity.substr(0, identity.rfind('.')));
 }
 
 }  // namespace
@@ -41,6 +41,7 @@
   lending::Owner owner;
   lending::Holder holder;
   std::vector<Leaving> leaving;
+  int wanted_slots = 1;
   base::TimePoint shared;
 
   explicit Private(NodeContext& context)
@@ -51,6 +52,7 @@
   void OnAnnounce(const net::HttpExchangePtr& exchange, const std::string& target);
   void OnLeave(const net::HttpExchangePtr& exchange, const std::string& target);
   void Learn(TargetInfo info);
+  lending::Amount DemandOf(const TargetInfo& info, lending::TargetIndex index) const;
   void Borrow(base::TimePoint now);
   void Share(base::TimePoint now);
   void AnswerLeaving(base::TimePoint now);
@@ -63,6 +65,15 @@
   this->node.send(NameOfIdentity(identity), kind, std::move(payload));
 }
 
+/// Slots for the requests that are expected, with a connection for each and as many idle ones.
+lending::Amount TargetService::Private::DemandOf(const TargetInfo& info,
+                                                 lending::TargetIndex index) const {
+  const lending::Amount in_use = this->holder.InUse(index);
+  if (info.leaving || this->node.machine.State().Targets().IsDrained(info.id)) return in_use;
+  const lending::Amount wanted{this->wanted_slots, 2 * this->wanted_slots};
+  return lending::Min(info.capacity, lending::Max(in_use, wanted));
+}
+
 /// Takes a record of a target and lets the holder borrow from its owner.
 void TargetService::Private::Learn(TargetInfo info) {
   const std::string id = info.id;
@@ -70,8 +81,7 @@
   const TargetInfo& known = *this->node.directory.Find(id);
   if (known.owner_identity.empty()) return;
   const auto index = this->holder.SetOwner(id, known.owner_identity, known.fence);
-  const bool wanted = !known.leaving && !this->node.machine.State().Targets().IsDrained(id);
-  this->holder.SetDemand(index, wanted ? known.capacity : this->holder.InUse(index));
+  this->holder.SetDemand(index, this->DemandOf(known, index));
 }
 
 void TargetService::Private::OnAnnounce(const net::HttpExchangePtr& exchange,
@@ -272,6 +282,16 @@
   }
 }
 
+void TargetService::SetWantedSlots(int slots) {
+  if (slots == this->d->wanted_slots) return;
+  this->d->wanted_slots = slots;
+  for (const auto& [id, info] : this->d->node.directory.All()) {
+    if (const auto index = this->d->holder.Find(id)) {
+      this->d->holder.SetDemand(*index, this->d->DemandOf(info, *index));
+    }
+  }
+}
+
 lending::Holder& TargetService::Holder() { return this->d->holder; }
 const lending::Owner& TargetService::Owner() const { return this->d->owner; }
 
