--- a/tests/auto/consensus/tst_replica.cc
+++ b/tests/auto/consensus/tst_replica.cc
@@ -31,6 +31,168 @@
   CHECK(simulation.violations.empty());
 }
 
+/// A single replica that is driven by hand.
+struct Single {
+  explicit Single(Config config = {}) : replica(Prepare(std::move(config)), {}, TimePoint(1s)) {
+    // Ticks without pauses end the wait before the first vote, but not yet the election timeout.
+    for (this->now = TimePoint(1s); this->now < TimePoint(1300ms); this->now += 10ms) {
+      this->replica.Tick(this->now);
+    }
+    this->replica.TakeOutput();
+  }
+  static Config Prepare(Config config) {
+    config.self = ReplicaId(1, 'a');
+    config.first_configuration = kThree;
+    config.timings.election_max = 100s;
+    return config;
+  }
+  Output Step(Term term, const ReplicaId& from, MessageBody body) {
+    this->replica.Step(this->now, {term, from, "a", std::move(body)});
+    return this->replica.TakeOutput();
+  }
+  Output Synced(const Output& output) {
+    this->replica.OnSynced(this->now, output.sync_id);
+    return this->replica.TakeOutput();
+  }
+  static AppendRequest Append(Index index, Term term) {
+    AppendRequest request;
+    request.entries.push_back({index, term, EntryKind::kCommand, "x", {}, 0, 0});
+    return request;
+  }
+
+  Replica replica;
+  TimePoint now;
+};
+
+template <typename Body>
+std::vector<Body> Sent(const Output& output) {
+  std::vector<Body> bodies;
+  for (const Message& message : output.messages) {
+    if (const auto* body = std::get_if<Body>(&message.body)) bodies.push_back(*body);
+  }
+  return bodies;
+}
+
+// Guards against a vote or an acknowledgement that a power loss can take back.
+TEST_CASE("votes and acknowledgements wait for the sync") {
+  Single single;
+  const Output voted = single.Step(1, "b", VoteRequest{false, false, 0, 0});
+  CHECK(voted.hard_state == HardState{1, "b", 0});
+  CHECK(voted.sync_id != 0);
+  CHECK(voted.messages.empty());
+  CHECK(Sent<VoteResponse>(single.Synced(voted)).size() == 1);
+  const Output appended = single.Step(1, "b", Single::Append(1, 1));
+  CHECK(appended.sync_id != 0);
+  CHECK(appended.messages.empty());
+  CHECK(Sent<AppendResponse>(single.Synced(appended)).size() == 1);
+}
+
+// Guards against an acknowledgement for a deposed leader that is sent after a vote for its
+// successor: the entry could count as committed without being in the successor's log.
+TEST_CASE("an acknowledgement is dropped when the term has changed before the sync") {
+  Single single;
+  const Output appended = single.Step(1, "b", Single::Append(1, 1));
+  single.Step(2, "c", AppendRequest{});
+  for (const AppendResponse& response : Sent<AppendResponse>(single.Synced(appended))) {
+    CHECK_FALSE((response.accepted && response.index == 1));
+  }
+}
+
+// Guards against two votes in one term.
+TEST_CASE("a voter votes once in a term and only for an up-to-date log") {
+  Single single;
+  single.Synced(single.Step(1, "b", VoteRequest{false, false, 0, 0}));
+  const auto second = Sent<VoteResponse>(single.Step(1, "c", VoteRequest{false, false, 9, 1}));
+  REQUIRE(second.size() == 1);
+  CHECK_FALSE(second.front().granted);
+}
+
+// Guards against a second leader during the first one's lease, and against a lost disk that lets a
+// voter elect a leader without the entries it had acknowledged.
+TEST_CASE("a voter refuses during the lease and with an empty log") {
+  Single single;
+  const auto ask = [&](Index last) {
+    const auto sent = Sent<VoteResponse>(single.Step(1, "c", VoteRequest{true, false, last, 1}));
+    return !sent.empty() && sent.front().granted;
+  };
+  CHECK_FALSE(ask(7));
+  CHECK(ask(0));
+  single.Synced(single.Step(1, "b", AppendRequest{}));
+  single.now += 40ms;
+  CHECK_FALSE(ask(0));
+}
+
+// Guards against a learner without a disk, or a voter with a failed one, that counts as durable.
+TEST_CASE("a replica without a disk doesn't vote, and says that its entries aren't durable") {
+  Config config;
+  config.durable = false;
+  Single diskless(config);
+  Single failed;
+  failed.replica.OnStorageFailed(failed.now);
+  for (Single* single : {&diskless, &failed}) {
+    for (const auto& vote : Sent<VoteResponse>(single->Step(1, "b", VoteRequest{}))) {
+      CHECK_FALSE(vote.granted);
+    }
+    const Output output = single->Step(1, "b", Single::Append(1, 1));
+    CHECK(output.sync_id == 0);
+    const auto answers = Sent<AppendResponse>(output);
+    REQUIRE(answers.size() == 1);
+    CHECK_FALSE(answers.front().durable);
+  }
+}
+
+// Guards against entries of an earlier term that count as committed by a majority alone: a later
+// leader without them could still be elected (Ongaro and Ousterhout, 2014, figure 8).
+TEST_CASE("entries of an earlier term are committed only with one of the leader's own") {
+  Config config;
+  config.self = ReplicaId(1, 'a');
+  config.first_configuration = kThree;
+  RestoredState restored;
+  restored.hard_state.term = 1;
+  restored.entries.push_back({1, 1, EntryKind::kCommand, "x", {}, 0, 0});
+  Replica replica(config, restored, TimePoint(1s));
+  TimePoint now(1s);
+  const auto step = [&](Term term, MessageBody body) {
+    replica.Step(now, {term, "b", "a", std::move(body)});
+    const Output output = replica.TakeOutput();
+    if (output.sync_id != 0) replica.OnSynced(now, output.sync_id);
+  };
+  for (; replica.GetStatus().role == Role::kFollower; now += 10ms) replica.Tick(now);
+  step(2, VoteResponse{true, true});
+  step(2, VoteResponse{false, true});
+  REQUIRE(replica.IsLeader());
+  replica.TakeOutput();
+  AppendResponse response;
+  response.accepted = true;
+  response.durable = true;
+  response.index = 1;
+  step(2, response);
+  CHECK(replica.GetStatus().commit == 0);
+  response.index = 2;
+  step(2, response);
+  CHECK(replica.GetStatus().commit == 2);
+}
+
+// Guards against chunks above the frame limit and against proposals without bound.
+TEST_CASE("commands over the limit are refused") {
+  Simulation simulation({}, kThree);
+  for (const char* name : {"a", "b", "c"}) simulation.AddNode(name);
+  simulation.RunFor(2s);
+  REQUIRE(simulation.Leader() != nullptr);
+  simulation.Act(simulation.Leader()->name, [](Replica& replica, TimePoint now) {
+    const auto large = replica.Propose(now, std::string(3U << 20U, 'x'));
+    REQUIRE_FALSE(base::Ok(large));
+    CHECK(base::ErrorOf(large).kind == ProposeErrorKind::kTooLarge);
+    int accepted = 0;
+    for (int i = 0; i < 40; ++i) {
+      accepted += base::Ok(replica.Propose(now, std::string(1U << 20U, 'x'))) ? 1 : 0;
+    }
+    CHECK(accepted < 32);
+    CHECK(accepted > 28);
+  });
+  CHECK(Limits{}.snapshot_chunk_bytes < (1U << 20U));
+}
+
 // Guards against a codec that drops or reorders a field, and against a crash on malformed bytes.
 TEST_CASE("messages survive the codec, malformed bytes are refused") {
   AppendRequest request{7, 3, 6, -12, {}};
--- a/tests/auto/consensus/tst_scenarios.cc
+++ b/tests/auto/consensus/tst_scenarios.cc
@@ -243,6 +243,11 @@
         {"lost", [&](auto& w) { return outcome(w[2]).end && outcome(w[2]).lost; }},
         {"open", [&](auto& w) { return !outcome(w[2]).end; }},
         {"leader", [&](auto& w) { return this->NameOf("leader") == w[2]; }},
+        {"not-leader",
+         [&](auto& w) {
+           const std::string leader = this->NameOf("leader");
+           return !leader.empty() && leader != w[2];
+         }},
         {"some-leader", [&](auto&) { return this->S().Leader() != nullptr; }},
         {"no-leader", [&](auto&) { return this->S().Leader() == nullptr; }},
         {"other-leader", [&](auto&) { return this->IsOtherLeader(); }},
