Let a leader whose removal isn't committed campaign once more

The replica with the longest log had removed itself in an entry that wasn't committed; it didn't campaign, and the others couldn't win without it. Change: such a replica asks the new voters for their votes and doesn't count itself. Conclusion: removing the leader can't block the log.

--- a/src/libs/consensus/election.cc
+++ b/src/libs/consensus/election.cc
@@ -83,7 +83,7 @@
   this->election_deadline = this->now + this->random.Between(timings.retry_min, timings.retry_max);
   if (pre_vote) {
     this->role = Role::kPreCandidate;
-    this->votes.insert(this->config.self);
+    if (this->Current().HasVoter(this->config.self)) this->votes.insert(this->config.self);
   } else {
     this->role = Role::kCandidate;
     ++this->hard_state.term;
@@ -167,8 +167,18 @@
   this->Campaign(false, true);
 }
 
+/// A replica whose removal isn't committed may hold the only copy of that entry and be needed to
+/// commit it. It asks the new voters and doesn't count itself.
+bool Replica::Private::CanCampaign() const {
+  if (!this->IsDurable()) return false;
+  if (this->Current().HasVoter(this->config.self)) return true;
+  const std::size_t count = this->configurations.size();
+  return count > 1 && this->configurations.back().first > this->hard_state.commit &&
+         this->configurations[count - 2].second.HasVoter(this->config.self);
+}
+
 void Replica::Private::TickElection() {
-  if (!this->IsDurable() || !this->Current().HasVoter(this->config.self)) return;
+  if (!this->CanCampaign()) return;
   if (this->now >= this->election_deadline) {
     if (this->MayVote(false)) {
       this->Campaign(true, false);
--- a/src/libs/consensus/replica_private.h
+++ b/src/libs/consensus/replica_private.h
@@ -89,6 +89,7 @@
   void On(const Message& message, VoteRequest& request);
   void On(const Message& message, VoteResponse& response);
   void On(const Message& message, TimeoutNow& request);
+  bool CanCampaign() const;
   void TickElection();
   void TickLeader();
   void TickTransfer();
--- a/tests/auto/consensus/tst_seeds.cc
+++ b/tests/auto/consensus/tst_seeds.cc
@@ -179,11 +179,13 @@
 
 // Guards against two leaders in a term, diverging logs, lost or reverted acknowledged commands,
 // reads of old values, overlapping leases, damage by torn writes, and a cluster that doesn't
-// recover. MANGOROAD_SEED=N runs and prints one seed.
+// recover. MANGOROAD_SEED=N runs and prints one seed, MANGOROAD_SEED_COUNT=N runs more seeds.
 TEST_CASE("safety and recovery under random faults", "[seeds]") {
   const char* chosen = std::getenv("MANGOROAD_SEED");
   const std::uint64_t first = chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
-  const std::uint64_t last = chosen != nullptr ? first : kSeeds;
+  const char* count = std::getenv("MANGOROAD_SEED_COUNT");
+  const std::uint64_t seeds = count != nullptr ? std::strtoull(count, nullptr, 10) : kSeeds;
+  const std::uint64_t last = chosen != nullptr ? first : seeds;
   std::size_t acknowledged = 0;
   std::string fault;
   const auto previous = base::SetSoftAssertHandler(
