--- a/src/libs/placement/fair_queue.cc
+++ b/src/libs/placement/fair_queue.cc
@@ -20,12 +20,24 @@
 
 double RunTimeOf(const PendingJob& job) { return std::max(kMinRunTime, job.run_time_s); }
 
-// Class of sizes that are within a factor of 1.19 of each other.
+// Class of amounts that are within a factor of 2 of each other.
 int SizeClass(std::int64_t amount) {
-  if (amount <= 0) return 0;
-  return 1 + static_cast<int>(std::floor(4 * std::log2(static_cast<double>(amount))));
+  return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(0, amount)));
 }
 
+Resources LeastOf(const Resources& a, const Resources& b) {
+  return {std::min(a.millicores, b.millicores), std::min(a.memory_mib, b.memory_mib),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+// Jobs of a lane that are looked at when its head can't fit, as with less memory.
+constexpr int kLookPastHead = 4;
+
+// What is blocked or exhausted is looked at again after this, since waiting times and measurements
+// change what may be done.
+constexpr base::Duration kLookAgainAfter = std::chrono::seconds(1);
+constexpr base::Duration kRateLimitedAgainAfter = std::chrono::milliseconds(10);
+
 }  // namespace
 
 TeamNumber FairQueue::TeamNumberOf(std::string_view name) {
@@ -112,9 +124,10 @@
     if (std::isfinite(least)) row.pass = std::max(row.pass, least);
   }
   const LaneKey key{job.urgent, static_cast<int>(std::log2(RunTimeOf(job))),
-                    SizeClass(job.reserve.millicores), SizeClass(job.reserve.memory_mib),
-                    job.reserve.accelerators};
+                    SizeClass(job.reserve.millicores), job.reserve.accelerators};
   Lane& lane = row.lanes[key];
+  lane.least = lane.jobs.empty() ? job.reserve : LeastOf(lane.least, job.reserve);
+  row.least = row.waiting == 0 ? job.reserve : LeastOf(row.least, job.reserve);
   // Evicted work goes first in its lane: it has waited before.
   const auto position = job.evictions > 0 ? lane.jobs.begin() : lane.jobs.end();
   const TimePoint since =
@@ -123,6 +136,8 @@
   this->places.insert_or_assign(job.job, Place{number, key, inserted});
   ++row.waiting;
   ++team.waiting;
+  row.exhausted = {};
+  team.exhausted = {};
   if (job.urgent) {
     ++row.urgent_waiting;
     ++this->urgent_waiting;
@@ -157,7 +172,7 @@
   return place == this->places.end() ? nullptr : &*place->second.job;
 }
 
-bool FairQueue::MayStart(TimePoint now, RowQueue& row) const {
+bool FairQueue::MayStart(TimePoint now, RowQueue& row) {
   if (now < row.blocked_until) return false;
   if (row.spec.limit_inflight > 0 && row.inflight >= row.spec.limit_inflight) return false;
   if (row.spec.limit_rate <= 0) return true;
@@ -168,14 +183,25 @@
   return row.rate_tokens >= 1;
 }
 
-FairQueue::Choice FairQueue::BestLane(TimePoint now, std::uint64_t epoch, RowQueue& row,
-                                      bool urgent) const {
+FairQueue::Choice FairQueue::BestJob(TimePoint now, std::uint64_t epoch, RowNumber number,
+                                     const MayFit& may_fit) const {
   Choice best;
-  for (auto& [key, lane] : row.lanes) {
-    if (std::get<0>(key) != urgent || lane.IsBlocked(now, epoch)) continue;
+  const RowQueue& row = this->rows.at(number);
+  if (!may_fit(number, row.least)) return best;
+  for (const auto& [key, lane] : row.lanes) {
+    if (std::get<0>(key) || lane.IsBlocked(now, epoch)) continue;
     const WaitingJob& head = lane.jobs.front();
     const double ratio = 1 + Seconds(now - head.since) / RunTimeOf(head.request);
-    if (best.lane == nullptr || ratio > best.ratio) best = {&lane, ratio};
+    if (best.job != nullptr && ratio <= best.ratio) continue;
+    if (!may_fit(number, lane.least)) continue;
+    int looked = 0;
+    for (const WaitingJob& job : lane.jobs) {
+      if (may_fit(number, job.request.reserve)) {
+        best = {&job, ratio};
+        break;
+      }
+      if (++looked == kLookPastHead) break;
+    }
   }
   return best;
 }
@@ -183,7 +209,7 @@
 std::optional<JobId> FairQueue::NextUrgent(TimePoint now, std::uint64_t epoch) {
   const WaitingJob* oldest = nullptr;
   for (RowQueue& row : this->rows) {
-    if (row.urgent_waiting == 0 || !this->MayStart(now, row)) continue;
+    if (row.urgent_waiting == 0 || !MayStart(now, row)) continue;
     for (auto& [key, lane] : row.lanes) {
       if (!std::get<0>(key) || lane.IsBlocked(now, epoch)) continue;
       const WaitingJob& head = lane.jobs.front();
@@ -194,41 +220,68 @@
   return oldest->request.job;
 }
 
-std::optional<JobId> FairQueue::NextOf(TimePoint now, std::uint64_t epoch, const TeamQueue& team) {
-  Lane* chosen = nullptr;
+std::optional<JobId> FairQueue::NextOf(TimePoint now, std::uint64_t epoch, TeamQueue& team,
+                                       const MayFit& may_fit) {
+  const WaitingJob* chosen = nullptr;
   double least = 0;
+  TimePoint again = now + kLookAgainAfter;
   for (const RowNumber number : team.rows) {
     RowQueue& row = this->rows.at(number);
-    if (row.waiting == row.urgent_waiting || (chosen != nullptr && row.pass >= least)) continue;
-    if (!this->MayStart(now, row)) continue;
-    const Choice choice = this->BestLane(now, epoch, row, false);
-    if (choice.lane == nullptr) continue;
-    chosen = choice.lane;
+    if (row.waiting == row.urgent_waiting || row.exhausted.Holds(now, epoch)) continue;
+    if (chosen != nullptr && row.pass >= least) continue;
+    if (!MayStart(now, row)) {
+      again = now + kRateLimitedAgainAfter;
+      continue;
+    }
+    const Choice choice = this->BestJob(now, epoch, number, may_fit);
+    if (choice.job == nullptr) {
+      row.exhausted = {epoch, now + kLookAgainAfter};
+      continue;
+    }
+    chosen = choice.job;
     least = row.pass;
   }
-  if (chosen == nullptr) return std::nullopt;
-  return chosen->jobs.front().request.job;
+  if (chosen == nullptr) {
+    team.exhausted = {epoch, again};
+    return std::nullopt;
+  }
+  return chosen->request.job;
 }
 
-std::optional<JobId> FairQueue::Next(TimePoint now, std::uint64_t epoch) {
+std::optional<JobId> FairQueue::Next(TimePoint now, std::uint64_t epoch, const MayFit& may_fit) {
   if (this->urgent_waiting > 0) {
     if (const auto urgent = this->NextUrgent(now, epoch)) return urgent;
   }
   // Most often the first team has a job to try, so the others aren't sorted.
   this->order.clear();
   for (TeamNumber number = 0; number < this->teams.size(); ++number) {
-    if (this->teams.at(number).waiting > 0) this->order.emplace_back(this->ShareOf(number), number);
+    const TeamQueue& team = this->teams.at(number);
+    if (team.waiting == 0 || team.exhausted.Holds(now, epoch)) continue;
+    this->order.emplace_back(this->ShareOf(number), number);
   }
   std::ranges::make_heap(this->order, std::greater<>());
   while (!this->order.empty()) {
     std::ranges::pop_heap(this->order, std::greater<>());
     const TeamNumber number = this->order.back().second;
     this->order.pop_back();
-    if (const auto job = this->NextOf(now, epoch, this->teams.at(number))) return job;
+    if (const auto job = this->NextOf(now, epoch, this->teams.at(number), may_fit)) return job;
   }
   return std::nullopt;
 }
 
+std::vector<JobId> FairQueue::HeadsToReview(TimePoint now) {
+  std::vector<JobId> heads;
+  for (RowQueue& row : this->rows) {
+    if (row.waiting == row.urgent_waiting || now - row.reviewed < kLookAgainAfter) continue;
+    if (!MayStart(now, row)) continue;
+    row.reviewed = now;
+    for (const auto& [key, lane] : row.lanes) {
+      if (!std::get<0>(key)) heads.push_back(lane.jobs.front().request.job);
+    }
+  }
+  return heads;
+}
+
 void FairQueue::Block(JobId job, std::uint64_t epoch, TimePoint until) {
   const auto place = this->places.find(job);
   if (place == this->places.end()) return;
--- a/src/libs/placement/fair_queue.h
+++ b/src/libs/placement/fair_queue.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -29,8 +30,9 @@
 /// Weighted fair queue over teams and their rows. The team with the smallest reserved part of its
 /// quota comes first, so teams below their quota come before teams that borrow. Between the rows of
 /// a team, stride scheduling by weight divides processor time. Inside a row, jobs of about equal
-/// size and run time form a lane; the lane whose head has the highest response ratio (wait + run
-/// time) / run time comes first, so short jobs pass long ones and every job's turn comes with age.
+/// processors and run time form a lane; the lane whose head has the highest response ratio (wait +
+/// run time) / run time comes first, so short jobs pass long ones and every job's turn comes with
+/// age.
 class FairQueue {
  public:
   /// Replaces rows and teams; gives the jobs of rows that no longer exist, taken out of the queue.
@@ -52,8 +54,18 @@
   const WaitingJob* Find(JobId job) const;
   std::size_t Size() const { return this->places.size(); }
 
-  /// The job to try next, urgent ones first; nothing when all are blocked or limited.
-  std::optional<JobId> Next(base::TimePoint now, std::uint64_t epoch);
+  /// Whether work of a row that needs at least these amounts could fit, by what was found since the
+  /// epoch began.
+  using MayFit = std::function<bool(RowNumber, const Resources&)>;
+
+  /// The job to try next, urgent ones first; nothing when all are blocked, limited or can't fit.
+  /// Rows and teams without such a job aren't looked at again in the same epoch for a second.
+  std::optional<JobId> Next(base::TimePoint now, std::uint64_t epoch, const MayFit& may_fit);
+  /// Heads of lanes, urgent ones left out, of rows that may start work and weren't looked at in
+  /// this way for a second.
+  std::vector<JobId> HeadsToReview(base::TimePoint now);
+  /// False while the row is blocked or at one of its limits.
+  bool MayStart(base::TimePoint now, RowNumber row) { return MayStart(now, this->rows.at(row)); }
   /// The job's lane isn't tried again before the epoch changes, or `until`, whichever is earlier.
   void Block(JobId job, std::uint64_t epoch, base::TimePoint until);
 
@@ -71,10 +83,20 @@
   std::int64_t QuotaOf(TeamNumber team) const { return this->teams.at(team).quota_millicores; }
 
  private:
-  /// Urgency, class of run time, and classes of sizes.
-  using LaneKey = std::tuple<bool, int, int, int, std::int64_t>;
+  /// Urgency, classes of run time and processors, and accelerators.
+  using LaneKey = std::tuple<bool, int, int, std::int64_t>;
+  /// Nothing to try in this epoch before `until`.
+  struct Exhaustion {
+    std::uint64_t epoch = 0;
+    base::TimePoint until{};
+    bool Holds(base::TimePoint now, std::uint64_t at) const {
+      return this->epoch == at && now < this->until;
+    }
+  };
   struct Lane {
     std::list<WaitingJob> jobs;
+    /// Lower bound of what its jobs need.
+    Resources least{};
     std::uint64_t blocked_epoch = 0;
     base::TimePoint blocked_until{};
     bool IsBlocked(base::TimePoint now, std::uint64_t epoch) const {
@@ -86,6 +108,10 @@
     TeamNumber team = 0;
     bool in_table = false;
     std::map<LaneKey, Lane> lanes{};
+    Exhaustion exhausted{};
+    base::TimePoint reviewed{};
+    /// Lower bound of what the waiting jobs need.
+    Resources least{};
     std::size_t waiting = 0;
     std::size_t urgent_waiting = 0;
     std::uint32_t inflight = 0;
@@ -102,6 +128,7 @@
     std::int64_t reserved = 0;
     std::vector<RowNumber> rows{};
     std::size_t waiting = 0;
+    Exhaustion exhausted{};
   };
   struct Place {
     RowNumber row = 0;
@@ -109,16 +136,18 @@
     std::list<WaitingJob>::iterator job{};
   };
   struct Choice {
-    Lane* lane = nullptr;
+    const WaitingJob* job = nullptr;
     double ratio = 0;
   };
 
   std::vector<PendingJob> TakeAll(RowQueue& row);
   TeamNumber TeamNumberOf(std::string_view name);
-  bool MayStart(base::TimePoint now, RowQueue& row) const;
-  Choice BestLane(base::TimePoint now, std::uint64_t epoch, RowQueue& row, bool urgent) const;
+  static bool MayStart(base::TimePoint now, RowQueue& row);
+  Choice BestJob(base::TimePoint now, std::uint64_t epoch, RowNumber number,
+                 const MayFit& may_fit) const;
   std::optional<JobId> NextUrgent(base::TimePoint now, std::uint64_t epoch);
-  std::optional<JobId> NextOf(base::TimePoint now, std::uint64_t epoch, const TeamQueue& team);
+  std::optional<JobId> NextOf(base::TimePoint now, std::uint64_t epoch, TeamQueue& team,
+                              const MayFit& may_fit);
 
   std::vector<RowQueue> rows;
   std::vector<TeamQueue> teams;
--- a/src/libs/placement/preemption.cc
+++ b/src/libs/placement/preemption.cc
@@ -53,7 +53,15 @@
 std::optional<Preemption::Choice> Preemption::Examine(TimePoint now, const WaitingJob& job,
                                                       ClearingKind kind,
                                                       TargetNumber target) const {
-  if (kind == ClearingKind::kDrain) return this->DrainCost(now, target);
+  if (kind == ClearingKind::kDrain) {
+    // Small jobs get their turn when any task ends; holding a target for them only wastes room.
+    Resources quarter = this->fleet.At(target).Usable();
+    quarter.millicores /= 4;
+    quarter.memory_mib /= 4;
+    quarter.accelerators = 0;
+    if (job.request.reserve.FitsIn(quarter)) return std::nullopt;
+    return this->DrainCost(now, target);
+  }
   std::vector<Victim> victims;
   for (const JobId candidate : this->fleet.At(target).tasks) {
     const Task& task = *this->fleet.FindTask(candidate);
--- a/src/libs/placement/scheduler.cc
+++ b/src/libs/placement/scheduler.cc
@@ -33,7 +33,7 @@
 constexpr std::size_t kFewTargets = 64;
 
 // Remembered needs that don't fit; more would cost more to compare than a search of the index.
-constexpr std::size_t kMaxMisses = 16;
+constexpr std::size_t kMaxMisses = 32;
 
 double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -71,6 +71,7 @@
   std::vector<UnplaceableJob> set_aside;
   std::vector<Miss> misses;
   std::uint64_t misses_epoch = 0;
+  std::vector<std::uint64_t> row_domains;
   std::uint32_t rotation = 0;
   // Reused between searches.
   std::vector<TargetNumber> candidates;
@@ -89,12 +90,19 @@
            this->delayed_jobs.contains(job) || this->unplaceable.contains(job);
   }
 
-  std::uint64_t DomainsOf(const RowSpec& row) {
+  // Failure domains of a row as bits.
+  std::uint64_t DomainsOf(RowNumber row) const {
+    return row < this->row_domains.size() ? this->row_domains[row] : ~std::uint64_t{0};
+  }
+
+  void SetDomainsOf(RowNumber row) {
     std::uint64_t domains = 0;
-    for (const std::string& name : row.place) {
+    const RowSpec& spec = this->queue.Row(row);
+    for (const std::string& name : spec.place) {
       domains |= std::uint64_t{1} << this->fleet.DomainOf(name);
     }
-    return row.place.empty() ? ~std::uint64_t{0} : domains;
+    if (row >= this->row_domains.size()) this->row_domains.resize(row + 1, ~std::uint64_t{0});
+    this->row_domains.at(row) = spec.place.empty() ? ~std::uint64_t{0} : domains;
   }
 
   // True when no less demanding need found room since the epoch began.
@@ -108,6 +116,14 @@
     });
   }
 
+  // Remembers a need that found no room; more demanding ones needn't be remembered then.
+  void AddMiss(std::uint64_t domains, const Resources& need) {
+    std::erase_if(this->misses, [&](const Miss& miss) {
+      return (miss.domains & ~domains) == 0 && need.FitsIn(miss.need);
+    });
+    if (this->misses.size() < kMaxMisses) this->misses.push_back({domains, need});
+  }
+
   // Compares the candidates and keeps the best; gives nothing when the policy refuses all.
   std::optional<Placement> Best(TimePoint now, const WaitingJob& job) {
     const RowSpec& row = this->queue.Row(job.row);
@@ -284,7 +300,7 @@
   // Tries the job that Next() gave; gives false when it has to wait.
   bool TryPlace(TimePoint now, JobId id, Decisions& decisions) {
     WaitingJob& job = *this->queue.Find(id);
-    const std::uint64_t domains = this->DomainsOf(this->queue.Row(job.row));
+    const std::uint64_t domains = this->DomainsOf(job.row);
     bool any_fits = false;
     if (!this->IsMissed(domains, job.request.reserve)) {
       if (const auto placement = this->Search(now, job, any_fits)) {
@@ -293,18 +309,28 @@
         }
         return true;
       }
-      if (!any_fits && this->misses.size() < kMaxMisses) {
-        this->misses.push_back({domains, job.request.reserve});
-      }
+      if (!any_fits) this->AddMiss(domains, job.request.reserve);
     }
     job.lacks = any_fits ? "a target where it may share" : "room";
     const base::Duration again =
         job.request.urgent ? base::Duration(std::chrono::milliseconds(50)) : kTryAgainAfter;
     this->queue.Block(id, this->fleet.Epoch(), now + again);
-    this->OnNoRoom(now, job);
+    if (job.request.urgent) this->OnNoRoom(now, job);
     return false;
   }
 
+  // Makes room for jobs at the head of their lane that have waited long.
+  void ReviewHeads(TimePoint now) {
+    for (const JobId id : this->queue.HeadsToReview(now)) {
+      WaitingJob* job = this->queue.Find(id);
+      const auto waited = now - job->since;
+      if (waited < std::min(this->settings.reclaim_after, this->settings.unplaceable_after)) {
+        continue;
+      }
+      this->OnNoRoom(now, *job);
+    }
+  }
+
   void PlaceCleared(TimePoint now, Decisions& decisions) {
     for (const JobId id : this->preemption.Beneficiaries()) {
       const WaitingJob* job = this->queue.Find(id);
@@ -313,7 +339,7 @@
         continue;
       }
       const auto target = this->preemption.ReadyTarget(*job);
-      if (!target) continue;
+      if (!target || !this->queue.MayStart(now, job->row)) continue;
       if (const auto removed = this->queue.Remove(id)) {
         this->Reserve(now, *removed, {*target, 0, false}, decisions);
       }
@@ -386,6 +412,7 @@
   for (const RowSpec& row : rows) {
     if (const auto number = this->d->queue.FindRow(row.name)) {
       this->d->policy->OnRow(*number, row);
+      this->d->SetDomainsOf(*number);
     }
   }
   this->d->fleet.Advance();
@@ -521,11 +548,15 @@
   this->d->ReleaseBackoffs(now);
   this->d->ReconsiderUnplaceable(now, decisions);
   this->d->PlaceCleared(now, decisions);
+  const FairQueue::MayFit may_fit = [this](RowNumber row, const Resources& need) {
+    return !this->d->IsMissed(this->d->DomainsOf(row), need);
+  };
   while (decisions.starts.size() < budget) {
-    const auto job = this->d->queue.Next(now, this->d->fleet.Epoch());
+    const auto job = this->d->queue.Next(now, this->d->fleet.Epoch(), may_fit);
     if (!job) break;
     this->d->TryPlace(now, *job, decisions);
   }
+  this->d->ReviewHeads(now);
   this->d->preemption.Advance(now, this->d->orders);
   decisions.orders = std::exchange(this->d->orders, {});
   decisions.unplaceable = std::exchange(this->d->set_aside, {});
--- a/tests/auto/placement/fake_cluster.cc
+++ b/tests/auto/placement/fake_cluster.cc
@@ -202,7 +202,7 @@
   this->events.push({at, this->event_count++, std::move(action)});
 }
 
-void FakeCluster::Send(const FakeTarget& target, std::function<void()> deliver) {
+void FakeCluster::Send(const FakeTarget& target, const std::function<void()>& deliver) {
   if (this->now < target.cut_until) return;
   const double loss = this->faulty ? 0.08 : 0;
   const int copies = this->faulty && this->random.Chance(0.05) ? 2 : 1;
--- a/tests/auto/placement/fake_cluster.h
+++ b/tests/auto/placement/fake_cluster.h
@@ -85,7 +85,7 @@
   void Expect(bool condition, const std::string& text);
   void At(base::TimePoint at, std::function<void()> action);
   /// Delivers over the network: delayed, sometimes lost, repeated or very late.
-  void Send(const FakeTarget& target, std::function<void()> deliver);
+  void Send(const FakeTarget& target, const std::function<void()>& deliver);
   void Propose(std::vector<jobs::Change> changes);
   /// Counts a step of the leader; the leader dies at steps that the seed chooses.
   void LeaderStep();
