Bound the work of one call of the scheduler; release throttled tasks

Cause: with 15,000 nearly full targets the review of waiting heads examined every target for each head (102 placements a second); tasks stayed throttled when a service stayed between the two bounds; policies that refuse used targets never saw empty ones. Change: reviews and searches for targets to clear are bounded in each call; the latency guard takes the median of three reports, releases tasks after a patience that doubles, and throttles a quarter of the reserved processors; candidates come from both ends of the index.

--- a/bench/placement/sharing.cc
+++ b/bench/placement/sharing.cc
@@ -74,7 +74,8 @@
         .capacity = {64000, 250000, 0},
         .service_reserve = {16000, 60000, 0},
         .seed = seed,
-        .seconds = 2400}},
+        .seconds = 1800,
+        .warm_up = 600}},
   }};
   for (const auto& [section, settings] : worlds) {
     SharingResult best;
--- a/bench/placement/sharing_world.cc
+++ b/bench/placement/sharing_world.cc
@@ -118,7 +118,7 @@
       work.work_s = 60 + this->random.Exponential(240);
       work.request = {.job = this->next_job++,
                       .row = KindName(work.kind),
-                      .reserve = {1000 * (1 + this->random.Below(4)), 2000, 0},
+                      .reserve = {std::int64_t{1000} * (1 + this->random.Below(4)), 2000, 0},
                       .run_time_s = work.work_s * (0.5 + this->random.Unit()),
                       .checkpointable = this->random.Chance(0.7)};
       this->scheduler.Submit(this->now, work.request);
@@ -171,7 +171,8 @@
   void Advance(JobId job, RunningTask& task) {
     const double done = (task.throttled ? kThrottled : 1) / task.slowdown;
     task.done_s += done;
-    if (task.checkpoint_in > 0 && --task.checkpoint_in == 0) {
+    task.checkpoint_in = std::max(-1, task.checkpoint_in - 1);
+    if (task.checkpoint_in == 0) {
       task.saved_s = task.done_s;
       this->scheduler.OnTaskProgress(this->now, job,
                                      {task.done_s / task.work_s, ++task.checkpoint});
--- a/bench/placement/speed.cc
+++ b/bench/placement/speed.cc
@@ -37,7 +37,8 @@
 PendingJob RandomJob(Random& random, JobId id) {
   PendingJob job{.job = id};
   job.row = RowName(random.Below(2 * kTeams));
-  job.reserve = {500 * (1 + random.Below(8)), 1000 * (1 + random.Below(12)), 0};
+  job.reserve = {std::int64_t{500} * (1 + random.Below(8)),
+                 std::int64_t{1000} * (1 + random.Below(12)), 0};
   job.run_time_s = 1 + random.Exponential(300);
   return job;
 }
--- a/src/libs/placement/fair_queue.cc
+++ b/src/libs/placement/fair_queue.cc
@@ -269,11 +269,15 @@
   return std::nullopt;
 }
 
-std::vector<JobId> FairQueue::HeadsToReview(TimePoint now) {
+std::vector<JobId> FairQueue::HeadsToReview(TimePoint now, std::size_t max_rows) {
   std::vector<JobId> heads;
-  for (RowQueue& row : this->rows) {
+  std::size_t reviewed = 0;
+  for (std::size_t step = 0; step < this->rows.size() && reviewed < max_rows; ++step) {
+    this->review_cursor = (this->review_cursor + 1) % this->rows.size();
+    RowQueue& row = this->rows.at(this->review_cursor);
     if (row.waiting == row.urgent_waiting || now - row.reviewed < kLookAgainAfter) continue;
     if (!MayStart(now, row)) continue;
+    ++reviewed;
     row.reviewed = now;
     for (const auto& [key, lane] : row.lanes) {
       if (!std::get<0>(key)) heads.push_back(lane.jobs.front().request.job);
--- a/src/libs/placement/fair_queue.h
+++ b/src/libs/placement/fair_queue.h
@@ -63,7 +63,8 @@
   std::optional<JobId> Next(base::TimePoint now, std::uint64_t epoch, const MayFit& may_fit);
   /// Heads of lanes, urgent ones left out, of rows that may start work and weren't looked at in
   /// this way for a second.
-  std::vector<JobId> HeadsToReview(base::TimePoint now);
+  /// At most `max_rows` rows in turn.
+  std::vector<JobId> HeadsToReview(base::TimePoint now, std::size_t max_rows);
   /// False while the row is blocked or at one of its limits.
   bool MayStart(base::TimePoint now, RowNumber row) { return MayStart(now, this->rows.at(row)); }
   /// The job's lane isn't tried again before the epoch changes, or `until`, whichever is earlier.
@@ -156,6 +157,8 @@
   std::unordered_map<JobId, Place> places;
   std::vector<std::pair<double, TeamNumber>> order;
   std::size_t urgent_waiting = 0;
+  /// Row where the next review begins.
+  std::size_t review_cursor = 0;
 };
 
 }  // namespace mangoroad::placement::internal
--- a/src/libs/placement/latency_guard.h
+++ b/src/libs/placement/latency_guard.h
@@ -1,6 +1,8 @@
 // Reaction to services that are slower than their bound although placement predicted otherwise.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 
@@ -22,6 +24,11 @@
   /// Time below `low` before tasks are released. Hysteresis keeps a task from being throttled and
   /// released with every burst of the service.
   base::Duration calm = std::chrono::seconds(5);
+  /// Tasks are released as well when nothing was above `high` for this long, so that a service that
+  /// stays between the two bounds doesn't throttle them for ever. It doubles with each time that
+  /// the target is throttled, up to the second value, so that the target settles.
+  base::Duration patience = std::chrono::seconds(15);
+  base::Duration max_patience = std::chrono::minutes(10);
 };
 
 /// Decides for each target when its tasks are throttled, evicted or released.
@@ -34,13 +41,21 @@
 
  private:
   struct State {
+    /// The last reports; their median is what counts, so one outlier has no effect.
+    std::array<double, 3> recent{};
+    std::size_t next = 0;
     std::uint32_t high_reports = 0;
     bool throttled = false;
     base::TimePoint acted{};
     base::TimePoint low_since{};
     bool is_low = false;
+    base::TimePoint high_at{};
+    base::Duration patience{};
   };
 
+  GuardAction OnHigh(base::TimePoint now, State& state) const;
+  bool MayRelease(base::TimePoint now, State& state, double latency_use) const;
+
   GuardSettings settings;
   std::unordered_map<TargetNumber, State> states;
 };
--- a/src/libs/placement/preemption.cc
+++ b/src/libs/placement/preemption.cc
@@ -83,16 +83,20 @@
   const std::size_t count = this->fleet.Targets().size();
   std::optional<Choice> best;
   std::size_t feasible = 0;
-  for (std::size_t step = 0; step < count; ++step) {
+  std::size_t examined = 0;
+  // Only urgent work is worth a search of all targets; the others begin elsewhere the next time.
+  const std::size_t most =
+      kind == ClearingKind::kUrgent ? count : 4 * this->settings.eviction_candidates;
+  for (std::size_t step = 0; step < count && examined < most; ++step) {
     const auto target = static_cast<TargetNumber>((this->cursor + step) % count);
     if (!this->MayClear(job, this->fleet.At(target))) continue;
+    ++examined;
     auto choice = this->Examine(now, job, kind, target);
     if (!choice) continue;
     if (!best || choice->victims.cost < best->victims.cost) best = std::move(choice);
-    if (++feasible < this->settings.eviction_candidates) continue;
-    this->cursor = (this->cursor + step + 1) % count;
-    break;
+    if (++feasible == this->settings.eviction_candidates) break;
   }
+  this->cursor += most;
   return best;
 }
 
--- a/src/libs/placement/scheduler.cc
+++ b/src/libs/placement/scheduler.cc
@@ -26,9 +26,18 @@
 // measurements change what may be done.
 constexpr base::Duration kTryAgainAfter = std::chrono::seconds(1);
 
+// At least one part in this many of the reserved processors is throttled for a slow service; on a
+// large target a single task makes no difference.
+constexpr std::int64_t kThrottledPart = 4;
+
 // Weight of a task that was ordered to write a checkpoint; above any 1 / (1 + cost).
 constexpr double kOrderedFirst = 1e6;
 
+// Bounds of the work of one call: rows whose heads are reviewed, and searches for targets to clear.
+// At one call every 5 ms, 800 rows are reviewed in a second.
+constexpr std::size_t kMaxReviewedRows = 4;
+constexpr std::size_t kMaxClearings = 4;
+
 // Targets compared first when a job seems to fit none.
 constexpr std::size_t kFewTargets = 64;
 
@@ -73,6 +82,7 @@
   std::uint64_t misses_epoch = 0;
   std::vector<std::uint64_t> row_domains;
   std::uint32_t rotation = 0;
+  std::size_t clearings_left = 0;
   // Reused between searches.
   std::vector<TargetNumber> candidates;
 
@@ -147,18 +157,32 @@
     return best;
   }
 
-  std::optional<Placement> SearchDomain(TimePoint now, const WaitingJob& job, DomainNumber domain,
-                                        std::size_t limit) {
-    const Strategy& strategy = StrategyOf(this->queue.Row(job.row).strategy);
+  void Collect(const WaitingJob& job, DomainNumber domain, bool largest_first, std::size_t limit) {
     const bool compares = this->policy->ComparesTargets();
-    this->candidates.clear();
     this->fleet.FreeIndex().Collect(
         {.need = job.request.reserve,
          .domain = domain,
-         .largest_first = strategy.largest_first,
+         .largest_first = largest_first,
          .limit = limit,
          .per_bucket = compares ? std::max<std::size_t>(2, limit / 4) : limit},
         this->candidates);
+  }
+
+  std::optional<Placement> SearchDomain(TimePoint now, const WaitingJob& job, DomainNumber domain,
+                                        std::size_t limit) {
+    const bool largest_first = StrategyOf(this->queue.Row(job.row).strategy).largest_first;
+    this->candidates.clear();
+    if (this->policy->ComparesTargets()) {
+      // Candidates from both ends differ most in what they carry.
+      this->Collect(job, domain, largest_first, (limit + 1) / 2);
+      this->Collect(job, domain, !largest_first, limit);
+      return this->Best(now, job);
+    }
+    this->Collect(job, domain, largest_first, limit);
+    if (auto found = this->Best(now, job); found || this->candidates.size() < limit) return found;
+    // The policy may refuse all targets at one end, as when none of the used ones may be shared.
+    this->candidates.clear();
+    this->Collect(job, domain, !largest_first, limit);
     return this->Best(now, job);
   }
 
@@ -289,8 +313,12 @@
         this->queue.ReservedOf(team) + job.request.reserve.millicores <= this->queue.QuotaOf(team);
     if (job.request.urgent) {
       this->preemption.Begin(now, job, ClearingKind::kUrgent);
-    } else if (in_quota && waited >= this->settings.reclaim_after &&
-               this->preemption.Begin(now, job, ClearingKind::kReclaim)) {
+      return;
+    }
+    if (this->clearings_left == 0) return;
+    --this->clearings_left;
+    if (in_quota && waited >= this->settings.reclaim_after &&
+        this->preemption.Begin(now, job, ClearingKind::kReclaim)) {
       job.lacks = "room; borrowed capacity is reclaimed";
     } else if (waited >= this->settings.hold_after) {
       this->preemption.Begin(now, job, ClearingKind::kDrain);
@@ -321,7 +349,8 @@
 
   // Makes room for jobs at the head of their lane that have waited long.
   void ReviewHeads(TimePoint now) {
-    for (const JobId id : this->queue.HeadsToReview(now)) {
+    this->clearings_left = kMaxClearings;
+    for (const JobId id : this->queue.HeadsToReview(now, kMaxReviewedRows)) {
       WaitingJob* job = this->queue.Find(id);
       const auto waited = now - job->since;
       if (waited < std::min(this->settings.reclaim_after, this->settings.unplaceable_after)) {
@@ -534,8 +563,13 @@
   Task* task = this->d->WorstFor(now, target, evict);
   if (task == nullptr) return;
   if (!evict) {
-    task->throttled = true;
-    this->d->AddOrder(*task, jobs::TaskAction::kThrottle, "a service is above its bound");
+    const std::int64_t enough = target.reserved.millicores / kThrottledPart;
+    for (std::int64_t throttled = 0; task != nullptr && throttled < enough;) {
+      task->throttled = true;
+      throttled += task->request.reserve.millicores;
+      this->d->AddOrder(*task, jobs::TaskAction::kThrottle, "a service is above its bound");
+      task = this->d->WorstFor(now, target, false);
+    }
   } else if (task->request.checkpointable && !std::exchange(task->checkpoint_ordered, true)) {
     this->d->AddOrder(*task, jobs::TaskAction::kCheckpoint, "a service stays above its bound");
   } else {
