--- a/src/libs/placement/preemption.cc
+++ b/src/libs/placement/preemption.cc
@@ -53,7 +53,15 @@
 std::optional<Preemption::Choice> Preemption::Examine(TimePoint now, const WaitingJob& job,
                                                       ClearingKind kind,
                                                       TargetNumber target) const {
-  if (kind == ClearingKind::kDrain) return this->DrainCost(now, target);
+  if (kind == ClearingKind::kDrain) {
+    // Small jobs get their turn when any task ends; holding a target for them only wastes room.
+    Resources quarter = this->fleet.At(target).Usable();
+    quarter.millicores /= 4;
+    quarter.memory_mib /= 4;
+    quarter.accelerators = 0;
+    if (job.request.reserve.FitsIn(quarter)) return std::nullopt;
+    return this->DrainCost(now, target);
+  }
   std::vector<Victim> victims;
   for (const JobId candidate : this->fleet.At(target).tasks) {
     const Task& task = *this->fleet.FindTask(candidate);
@@ -75,16 +83,20 @@
   const std::size_t count = this->fleet.Targets().size();
   std::optional<Choice> best;
   std::size_t feasible = 0;
-  for (std::size_t step = 0; step < count; ++step) {
+  std::size_t examined = 0;
+  // Only urgent work is worth a search of all targets; the others begin elsewhere the next time.
+  const std::size_t most =
+      kind == ClearingKind::kUrgent ? count : 4 * this->settings.eviction_candidates;
+  for (std::size_t step = 0; step < count && examined < most; ++step) {
     const auto target = static_cast<TargetNumber>((this->cursor + step) % count);
     if (!this->MayClear(job, this->fleet.At(target))) continue;
+    ++examined;
     auto choice = this->Examine(now, job, kind, target);
     if (!choice) continue;
     if (!best || choice->victims.cost < best->victims.cost) best = std::move(choice);
-    if (++feasible < this->settings.eviction_candidates) continue;
-    this->cursor = (this->cursor + step + 1) % count;
-    break;
+    if (++feasible == this->settings.eviction_candidates) break;
   }
+  this->cursor += most;
   return best;
 }
 
