--- a/src/libs/log/log.cc
+++ b/src/libs/log/log.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/soft_assert.h"
 #include "log/log_line.h"
 
 namespace mangoroad::log {
@@ -130,6 +131,11 @@
   }
   Flush();
   AllLoggers().Use(sink, options.format, base::ValueOf(levels));
+  base::SetSoftAssertHandler([](const base::AssertFailure& failure) {
+    Error(Category::kBase, "soft assert failed",
+          {{"condition", failure.condition}, {"file", failure.file}, {"line", failure.line}});
+    Flush();
+  });
   return base::Done{};
 }
 
--- a/src/libs/log/log.h
+++ b/src/libs/log/log.h
@@ -127,8 +127,9 @@
 /// Checks the text of Options::levels without applying it.
 base::Result<base::Done, LogError> CheckLevels(std::string_view levels);
 
-/// Applies the options to all categories; on an error the options in force stay. Before the first
-/// call, events of level info and above go to standard error as text.
+/// Applies the options to all categories and logs soft asserts from then on; on an error the
+/// options in force stay. Before the first call, events of level info and above go to standard
+/// error as text.
 base::Result<base::Done, LogError> Configure(const Options& options);
 
 /// True when an event of this level would be written; lets a caller skip costly fields.
--- a/tests/auto/log/tst_log.cc
+++ b/tests/auto/log/tst_log.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "base/soft_assert.h"
 #include "log/log.h"
 #include "log/log_line.h"
 
@@ -95,6 +96,14 @@
   CHECK(nlohmann::json::accept(line));
 }
 
+// Guards against broken conditions that only standard error shows.
+TEST_CASE("soft asserts are logged") {
+  const LogFile file({.levels = "off,base=error"});
+  base::ReportSoftAssert({"count > 0", "file.cc", 7});
+  CHECK(file.Text().find("error base event=\"soft assert failed\" condition=\"count > 0\" "
+                         "file=file.cc line=7") != std::string::npos);
+}
+
 // Guards against credentials in logs that many people may read.
 TEST_CASE("secrets are redacted by type and by key") {
   const Fields fields{{"key_bytes", Secret{}}, {"peer_secret", "hunter2"}, {"token", 12}};
