--- a/src/libs/audit/audit_trail.cc
+++ b/src/libs/audit/audit_trail.cc
@@ -40,8 +40,7 @@
     CutText(event.*text);
   }
   Record record{this->last_number + 1, std::move(event), this->head, ""};
-  record.hash = HashOf(record);
-  const std::size_t bytes = ToJsonLine(record).size();
+  const std::size_t bytes = Seal(record);
   this->Add(std::move(record), bytes);
   return this->entries.back().record;
 }
@@ -96,7 +95,7 @@
     if (auto fault = verifier.AddLine(line)) {
       return fmt::format("audit trail snapshot, line {}: {}", fault->line + 1, fault->message);
     }
-    if (auto record = FromJsonLine(line)) restored.Add(*std::move(record), line.size());
+    restored.Add(verifier.Last(), line.size());
     bytes.remove_prefix(std::min(line.size() + 1, bytes.size()));
   }
   if (header != fmt::format("{} {}", kSnapshotFormat, restored.last_number)) {
--- a/src/libs/audit/chain.cc
+++ b/src/libs/audit/chain.cc
@@ -35,6 +35,12 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// Adds the last field to a line without it.
+void AddHash(const std::string& hash, std::string& line) {
+  line.pop_back();
+  line += R"(,"hash":)" + Dump(hash) + '}';
+}
+
 /// Reads the fields of one JSON object; a missing field or one of another type makes it invalid.
 class FieldReader {
  public:
@@ -77,10 +83,17 @@
 
 std::string HashOf(const Record& record) { return Sha256Hex(Dump(ToJsonWithoutHash(record))); }
 
+std::size_t Seal(Record& record) {
+  std::string line = Dump(ToJsonWithoutHash(record));
+  record.hash = Sha256Hex(line);
+  AddHash(record.hash, line);
+  return line.size();
+}
+
 std::string ToJsonLine(const Record& record) {
-  Json json = ToJsonWithoutHash(record);
-  json["hash"] = record.hash;
-  return Dump(json);
+  std::string line = Dump(ToJsonWithoutHash(record));
+  AddHash(record.hash, line);
+  return line;
 }
 
 std::optional<Record> FromJsonLine(std::string_view line) {
@@ -142,7 +155,7 @@
 
 std::optional<ChainFault> ChainVerifier::AddLine(std::string_view line) {
   ++this->lines;
-  const std::optional<Record> record = FromJsonLine(line);
+  std::optional<Record> record = FromJsonLine(line);
   if (!record) {
     const std::uint64_t expected = this->summary.records == 0 ? 0 : this->summary.last_number + 1;
     return ChainFault{this->lines, expected, "the line is not an audit record in canonical form"};
@@ -154,6 +167,7 @@
   }
   this->summary.last_number = record->number;
   this->summary.head = record->hash;
+  this->last = *std::move(record);
   return std::nullopt;
 }
 
--- a/src/libs/audit/chain.h
+++ b/src/libs/audit/chain.h
@@ -41,12 +41,15 @@
   /// The fault of this line, or nothing. After a fault, no more lines may be added.
   std::optional<ChainFault> AddLine(std::string_view line);
   const ChainSummary& Summary() const { return this->summary; }
+  /// The record of the last line without a fault.
+  const Record& Last() const { return this->last; }
 
  private:
   std::optional<ChainFault> Check(const Record& record) const;
 
   std::size_t lines = 0;
   ChainSummary summary;
+  Record last;
 };
 
 /// Verifies a whole text; empty lines at its end are ignored.
--- a/src/libs/audit/record.h
+++ b/src/libs/audit/record.h
@@ -1,6 +1,7 @@
 // One record of the audit trail and its JSON line.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,6 +64,9 @@
 /// Hash that the record must have.
 std::string HashOf(const Record& record);
 
+/// Sets the hash of the record and gives the size of its JSON line in bytes.
+std::size_t Seal(Record& record);
+
 /// The record as one line of JSON without a line end; fields and order as in the JSON reference.
 /// Bytes that aren't UTF-8 are replaced by U+FFFD.
 std::string ToJsonLine(const Record& record);
