--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -21,6 +22,7 @@
 int Run(const std::string& json_file) {
   std::vector<SlopeSpec> specs;
   AddSlopes(specs, JobSlopes());
+  AddSlopes(specs, LiveSlopes());
 
   nlohmann::json report = nlohmann::json::array();
   fmt::print(
--- a/bench/capacity/slope.h
+++ b/bench/capacity/slope.h
@@ -46,5 +46,6 @@
 
 /// The slopes of one area of the system; each is in a source file of its own.
 std::vector<SlopeSpec> JobSlopes();
+std::vector<SlopeSpec> LiveSlopes();
 
 }  // namespace mangoroad::bench
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -149,6 +149,11 @@
     ReplyError(*exchange, ErrorKind::kDraining, "this entry VM is being stopped");
     return;
   }
+  if (this->node.machine.State().Table().Version() == 0) {
+    // After a start, an entry VM without a disk knows no rows until the leader has sent them.
+    ReplyError(*exchange, ErrorKind::kNoTarget, "no table has arrived at this entry VM yet");
+    return;
+  }
   const table::Row* row = this->node.machine.State().Table().Current().Find(parts.front());
   if (row == nullptr || row->work_class == table::WorkClass::kBatch) {
     ReplyError(*exchange, ErrorKind::kUnknownRow,
