--- a/src/libs/storage/wal.cc
+++ b/src/libs/storage/wal.cc
@@ -252,16 +252,12 @@
   Replay replay;
   const auto valid_bytes = parts->ReadSegments(replay);
   if (!base::Ok(valid_bytes)) return base::ErrorOf(valid_bytes);
-  OpenedWal opened;
-  opened.snapshot = std::move(base::ValueOf(snapshot));
-  auto entries = replay.EntriesAfter(opened.snapshot);
+  auto entries = replay.EntriesAfter(base::ValueOf(snapshot));
   if (!entries) {
     return StorageError{StorageErrorKind::kDamaged,
                         fmt::format("{} at offset 0: entries before the first one are missing",
                                     parts->segments.front().path)};
   }
-  opened.entries = std::move(*entries);
-  opened.hard_state = replay.hard_state;
   parts->hard_state = replay.hard_state;
 
   for (const std::string& name : base::ValueOf(names)) {
@@ -274,14 +270,14 @@
     const auto bytes = files.Read(parts->segments.back().path);
     return base::Ok(bytes) ? std::uint64_t{base::ValueOf(bytes).size()} : std::uint64_t{0};
   }();
-  opened.cut_bytes = size_before - base::ValueOf(valid_bytes);
+  const std::uint64_t cut_bytes = size_before - base::ValueOf(valid_bytes);
   MANGOROAD_RETURN_IF_FAILED(parts->PrepareLastSegment(base::ValueOf(valid_bytes)));
   if (replay.disagrees) {
     MANGOROAD_RETURN_IF_FAILED(parts->WriteRecord(internal::EncodeTruncate({0})));
     MANGOROAD_RETURN_IF_FAILED(parts->SyncFile());
   }
-  opened.wal = std::unique_ptr<Wal>(new Wal(std::move(parts)));
-  return opened;
+  return OpenedWal{std::unique_ptr<Wal>(new Wal(std::move(parts))), replay.hard_state,
+                   std::move(base::ValueOf(snapshot)), std::move(*entries), cut_bytes};
 }
 
 StorageResult<Done> Wal::Append(std::span<const LogEntry> entries) {
--- a/tests/auto/consensus/tst_replica.cc
+++ b/tests/auto/consensus/tst_replica.cc
@@ -173,6 +173,23 @@
   CHECK(replica.GetStatus().commit == 2);
 }
 
+// Guards against a leader that counts its own entry before its own sync.
+TEST_CASE("a leader counts its entries once they are synced") {
+  Config config;
+  config.self = ReplicaId(1, 'a');
+  config.first_configuration = {{"a"}, {}};
+  Replica replica(config, {}, TimePoint(1s));
+  TimePoint now(1s);
+  for (; replica.GetStatus().role == Role::kFollower; now += 10ms) replica.Tick(now);
+  replica.OnSynced(now, replica.TakeOutput().sync_id);
+  REQUIRE(replica.IsLeader());
+  const Output output = replica.TakeOutput();
+  REQUIRE(output.entries_to_sync.size() == 1);
+  CHECK(output.committed.empty());
+  replica.OnSynced(now, output.sync_id);
+  CHECK(replica.TakeOutput().committed.size() == 1);
+}
+
 // Guards against chunks above the frame limit and against proposals without bound.
 TEST_CASE("commands over the limit are refused") {
   Simulation simulation({}, kThree);
