--- a/src/libs/lending/owner.cc
+++ b/src/libs/lending/owner.cc
@@ -92,6 +92,7 @@
   TimePoint owned_until;
   TimePoint last_heard;
   std::uint64_t last_loan = 0;
+  std::size_t rotation = 0;
   std::map<std::string, HolderRecord, std::less<>> holders;
 
   [[nodiscard]] bool Lends(TimePoint now) const {
@@ -119,12 +120,14 @@
       slots.push_back(counts ? record.wanted.slots : 0);
       connections.push_back(counts ? record.wanted.connections : 0);
     }
-    // The start of the circular order moves on every second, so that with more holders than slots
-    // each of them has a turn.
+    // Targets start the circular order at different holders, so that the odd slots of all targets
+    // don't go to the same one. With more holders than slots, the start moves on every second and
+    // each holder has a turn.
+    const auto demands = std::ranges::count_if(slots, [](auto wanted) { return wanted > 0; });
     const auto second =
         std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
-    const auto first = (static_cast<std::size_t>(second) + this->fence.epoch) %
-                       std::max<std::size_t>(1, slots.size());
+    const auto turn = demands > this->capacity.slots ? static_cast<std::size_t>(second) : 0;
+    const std::size_t first = (this->rotation + turn) % std::max<std::size_t>(1, slots.size());
     slots = FairShares(this->capacity.slots, slots, first);
     connections = FairShares(this->capacity.connections, connections, first);
     std::map<std::string, Amount, std::less<>> shares;
@@ -206,6 +209,7 @@
     record = {};
     record.fence = announcement.fence;
     record.draining = draining;
+    record.rotation = this->d->random.Below(1U << 16U);
   }
   record.last_heard = now;
   // Leaving doesn't end before the next incarnation, so that a late announcement can't undo it.
--- a/src/libs/routing/holder_slots.cc
+++ b/src/libs/routing/holder_slots.cc
@@ -1,5 +1,8 @@
 #include "routing/holder_slots.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace mangoroad::routing {
 
 std::optional<lending::Fence> HolderSlots::Start(base::TimePoint now, TargetIndex target) {
@@ -9,6 +12,22 @@
 void HolderSlots::Abandon(TargetIndex target, base::TimePoint until) {
   this->holder.Abandon(target, until);
 }
+void HolderSlots::SpreadDemand(const std::vector<TargetIndex>& targets, int slots,
+                               int connections) {
+  if (targets.empty()) return;
+  const auto count = targets.size();
+  const std::size_t offset = std::hash<std::string>{}(this->holder.Identity()) % count;
+  const auto part = [&](int total, std::size_t i) {
+    const auto whole = static_cast<std::size_t>(std::max(total, 0));
+    return static_cast<std::int32_t>(whole / count +
+                                     ((i + offset) % count < whole % count ? 1 : 0));
+  };
+  for (std::size_t i = 0; i < count; ++i) {
+    const lending::Amount wanted{part(slots, i), part(connections, i)};
+    this->holder.SetDemand(targets[i], lending::Max(wanted, this->holder.InUse(targets[i])));
+  }
+}
+
 int HolderSlots::Free(base::TimePoint now, TargetIndex target) const {
   return this->holder.Free(now, target).slots;
 }
--- a/src/libs/routing/holder_slots.h
+++ b/src/libs/routing/holder_slots.h
@@ -15,6 +15,10 @@
   void Abandon(TargetIndex target, base::TimePoint until) override;
   int Free(base::TimePoint now, TargetIndex target) const override;
 
+  /// Spreads a demand for `slots` and `connections` evenly over the usable targets. Which targets
+  /// get one more than others depends on the holder, so that holders don't all ask the same ones.
+  void SpreadDemand(const std::vector<TargetIndex>& targets, int slots, int connections);
+
  private:
   lending::Holder& holder;
 };
--- a/src/libs/routing/limits.cc
+++ b/src/libs/routing/limits.cc
@@ -1,6 +1,7 @@
 #include "routing/limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangoroad::routing {
 namespace {
@@ -43,19 +44,32 @@
 }
 
 void AdaptiveLimit::OnAnswer(base::TimePoint now, base::Duration latency, int in_flight) {
+  // A whole interval before the first judgement: the first answers are those of short requests.
+  if (!std::exchange(this->started, true)) this->interval_end = now + 2 * kInterval;
   this->sum_us += static_cast<double>(latency.count());
   this->count += 1;
   this->most_in_flight = std::max(this->most_in_flight, in_flight);
-  if (now < this->interval_end || this->count < kFewestSamples) return;
+  if (now < this->interval_end || this->count < std::max(kFewestSamples, this->most_in_flight)) {
+    return;
+  }
   const double mean = this->sum_us / this->count;
-  constexpr double kDrift = 1.01;
+  // Doubles in 140 s.
+  constexpr double kDrift = 1.0005;
   this->baseline_us = this->baseline_us == 0 ? mean : std::min(mean, this->baseline_us * kDrift);
   // Twice the best latency means that work waits inside the targets.
   constexpr double kTolerance = 2.0;
   constexpr double kDecrease = 0.9;
   if (mean > kTolerance * this->baseline_us) {
+    if (this->decreases == 0) this->mean_before_decreases_us = mean;
+    // Three decreases take 27% of the limit; noise of single means is up to 5%.
+    constexpr int kDecreasesToJudge = 3;
+    constexpr double kUnchanged = 0.9;
+    if (++this->decreases > kDecreasesToJudge) {
+      this->decreases = 0;
+      if (mean > kUnchanged * this->mean_before_decreases_us) this->baseline_us *= 1.25;
+    }
     this->limit = std::min(this->limit, static_cast<double>(this->most_in_flight)) * kDecrease;
-  } else if (this->most_in_flight >= this->limit / 2) {
+  } else if (this->decreases = 0; this->most_in_flight >= this->limit / 2) {
     this->limit += std::max(1.0, this->limit * 0.05);
   }
   this->limit =
--- a/src/libs/routing/limits.h
+++ b/src/libs/routing/limits.h
@@ -37,7 +37,8 @@
 /// Limit on requests in flight that shrinks when latency grows and returns by itself.
 ///
 /// Additive increase and multiplicative decrease on the mean latency of an interval, compared with
-/// the lowest of such means, which itself drifts upwards so that a lasting change is accepted.
+/// the lowest of such means. When a lower limit doesn't lower the latency, the load isn't its
+/// cause, and the comparison moves up; it also drifts upwards slowly.
 class AdaptiveLimit {
  public:
   void OnAnswer(base::TimePoint now, base::Duration latency, int in_flight);
@@ -49,10 +50,13 @@
  private:
   double limit = 10000;
   double baseline_us = 0;
+  double mean_before_decreases_us = 0;
+  int decreases = 0;
   double sum_us = 0;
   int count = 0;
   int most_in_flight = 0;
   base::TimePoint interval_end;
+  bool started = false;
 };
 
 /// Rate of completions, measured over the last second.
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -62,8 +62,12 @@
     this->deviation_us += kLatencySmoothing * (std::abs(difference) - this->deviation_us);
   }
   // About the 95th percentile of an exponential distribution (mean deviation 0.74 of the mean).
-  [[nodiscard]] Duration HighLatency() const {
-    return Duration(static_cast<Duration::rep>(this->mean_us + 2.7 * this->deviation_us));
+  [[nodiscard]] Duration HighLatency() const { return this->LatencyAt(2.7); }
+  // About the 99th percentile. With the 95th, 7% of the capacity went to requests that missed their
+  // deadline at twice the capacity.
+  [[nodiscard]] Duration HighestLatency() const { return this->LatencyAt(4.9); }
+  [[nodiscard]] Duration LatencyAt(double deviations) const {
+    return Duration(static_cast<Duration::rep>(this->mean_us + deviations * this->deviation_us));
   }
 };
 
@@ -182,7 +186,7 @@
   }
 
   void Dispatch(TimePoint now) {
-    while (!this->settings.admission || this->in_flight < this->limit.Limit()) {
+    while (this->in_flight < this->limit.Limit()) {
       if (this->index.Available().empty()) return;
       const auto next = this->queue.Pop();
       if (!next) return;
@@ -266,9 +270,9 @@
       this->EndRefused(request.id, state, RefusalKind::kNoTarget);
       return;
     }
-    const bool too_late = now + wait + row.HighLatency() > request.deadline;
+    const bool too_late = now + wait + row.HighestLatency() > request.deadline;
     const bool full = this->queue.Size(request.row) >= this->settings.most_waiting;
-    if (this->settings.admission && (full || (wait > Duration{} && too_late))) {
+    if (full || (wait > Duration{} && too_late)) {
       this->EndRefused(request.id, state, RefusalKind::kOverloaded);
       return;
     }
@@ -468,13 +472,12 @@
 
 Actions Router::TakeActions() { return std::exchange(this->d->actions, {}); }
 
-int Router::WantedSlotsPerTarget() const {
-  if (this->d->usable_targets == 0) return 0;
+int Router::WantedSlots() const {
   const auto needed =
       static_cast<double>(this->d->in_flight) + static_cast<double>(this->d->queue.Size());
-  // Room for the usual variation of a Poisson stream, and one slot more on each target.
-  const double wanted = needed + 3 * std::sqrt(needed);
-  return static_cast<int>(wanted / static_cast<double>(this->d->usable_targets)) + 1;
+  // Room for the usual variation of a Poisson stream until the next loan. Much more would make all
+  // demands of a busy domain look alike, and slots would not follow the load.
+  return static_cast<int>(needed + 2 * std::sqrt(needed)) + 1;
 }
 
 Duration Router::EstimatedWait(RowIndex row) const { return this->d->Wait(row); }
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -18,8 +18,6 @@
   std::string domain;  ///< Failure domain of this entry VM.
   std::uint64_t seed = 1;
   std::size_t most_waiting = 10000;  ///< Waiting requests of one row.
-  /// Off only to measure what it gains: early refusal, bounded queues and the adaptive limit.
-  bool admission = true;
 };
 
 /// Counts since the start, for metrics.
@@ -61,8 +59,8 @@
   void Tick(base::TimePoint now);
   Actions TakeActions();
 
-  /// Slots that the router wants of each usable target, including those in use.
-  [[nodiscard]] int WantedSlotsPerTarget() const;
+  /// Slots that the router wants of all targets together, including those in use.
+  [[nodiscard]] int WantedSlots() const;
   /// Estimated wait of a new request of a row.
   [[nodiscard]] base::Duration EstimatedWait(RowIndex row) const;
   [[nodiscard]] std::size_t Waiting() const;
