Keep short answers from trapping the adaptive limit

After a start under overload only short requests are answered before their deadline, so the limit's comparison was too low, and with the slower drift it stayed so.

A unit test guards against it.

--- a/src/libs/routing/limits.cc
+++ b/src/libs/routing/limits.cc
@@ -43,6 +43,12 @@
   return true;
 }
 
+void AdaptiveLimit::OnCancelled(base::Duration so_far) {
+  this->sum_us += static_cast<double>(so_far.count());
+  this->count += 1;
+  this->censored = true;
+}
+
 void AdaptiveLimit::OnAnswer(base::TimePoint now, base::Duration latency, int in_flight) {
   // A whole interval before the first judgement: the first answers are those of short requests.
   if (!std::exchange(this->started, true)) this->interval_end = now + 2 * kInterval;
@@ -55,11 +61,13 @@
   const double mean = this->sum_us / this->count;
   // Doubles in 140 s.
   constexpr double kDrift = 1.0005;
-  this->baseline_us = this->baseline_us == 0 ? mean : std::min(mean, this->baseline_us * kDrift);
+  if (!std::exchange(this->censored, false)) {
+    this->baseline_us = this->baseline_us == 0 ? mean : std::min(mean, this->baseline_us * kDrift);
+  }
   // Twice the best latency means that work waits inside the targets.
   constexpr double kTolerance = 2.0;
   constexpr double kDecrease = 0.9;
-  if (mean > kTolerance * this->baseline_us) {
+  if (this->baseline_us > 0 && mean > kTolerance * this->baseline_us) {
     if (this->decreases == 0) this->mean_before_decreases_us = mean;
     // Three decreases take 27% of the limit; noise of single means is up to 5%.
     constexpr int kDecreasesToJudge = 3;
--- a/src/libs/routing/limits.h
+++ b/src/libs/routing/limits.h
@@ -42,6 +42,9 @@
 class AdaptiveLimit {
  public:
   void OnAnswer(base::TimePoint now, base::Duration latency, int in_flight);
+  /// A request was cancelled at its deadline after running for `so_far`. The answers of such an
+  /// interval are those of the shorter requests, so it doesn't lower the comparison.
+  void OnCancelled(base::Duration so_far);
   [[nodiscard]] int Limit() const { return static_cast<int>(this->limit); }
 
   static constexpr int kLowest = 4;
@@ -57,6 +60,7 @@
   int most_in_flight = 0;
   base::TimePoint interval_end;
   bool started = false;
+  bool censored = false;
 };
 
 /// Rate of completions, measured over the last second.
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -382,6 +382,7 @@
     if (state.phase == Phase::kRunning || state.phase == Phase::kRelayed) state.may_have_run = true;
     for (const Attempt& attempt : state.attempts) {
       this->health.OnResult(now, attempt.target, state.request.row, true, false);
+      this->limit.OnCancelled(now - attempt.sent);
     }
     this->CancelAttempts(now, id, state);
     this->EndRefused(id, state, RefusalKind::kDeadline);
--- a/tests/auto/routing/tst_routing.cc
+++ b/tests/auto/routing/tst_routing.cc
@@ -282,6 +282,23 @@
   CHECK(limit.Limit() >= 400);
 }
 
+// Guards against a limit that falls to its lowest because only short requests are answered before
+// their deadline, as after a start under ten times the capacity.
+TEST_CASE("the adaptive limit ignores the short latencies of an interval with cancelled requests") {
+  AdaptiveLimit limit;
+  TimePoint now = kStart;
+  for (int i = 0; i < 5000; ++i) {
+    now += milliseconds(1);
+    limit.OnAnswer(now, milliseconds(1), 100);
+    limit.OnCancelled(milliseconds(1));
+  }
+  for (int i = 0; i < 5000; ++i) {
+    now += milliseconds(1);
+    limit.OnAnswer(now, milliseconds(10), 100);
+  }
+  CHECK(limit.Limit() >= 1000);
+}
+
 // Guards against a relay that costs more than waiting here, and against a second hop.
 TEST_CASE("requests spill over only when the next domain is nearer than the end of the queue") {
   RowSpec row = Row(false, 0);
