Choose targets for sessions by free connections

Cause: sessions count as connections, and no module chose their target.

Change: HolderSlots::OpenSession takes the target with more free lent connections out of two samples.

Conclusion: sessions stay within the lent connections and spread.

--- a/src/libs/routing/holder_slots.cc
+++ b/src/libs/routing/holder_slots.cc
@@ -28,6 +28,25 @@
   }
 }
 
+std::optional<TargetIndex> HolderSlots::OpenSession(base::TimePoint now,
+                                                    const std::vector<TargetIndex>& targets,
+                                                    base::Random& random) {
+  if (targets.empty()) return std::nullopt;
+  const auto sample = [&] {
+    return targets[random.Below(static_cast<std::uint32_t>(targets.size()))];
+  };
+  const auto free = [&](TargetIndex target) { return this->holder.Free(now, target).connections; };
+  // A bounded number of samples keeps the decision short; the caller may try again.
+  constexpr int kMostTries = 8;
+  for (int i = 0; i < kMostTries; ++i) {
+    const TargetIndex first = sample();
+    const TargetIndex second = sample();
+    const TargetIndex chosen = free(first) >= free(second) ? first : second;
+    if (this->holder.OpenConnection(now, chosen)) return chosen;
+  }
+  return std::nullopt;
+}
+
 int HolderSlots::Free(base::TimePoint now, TargetIndex target) const {
   return this->holder.Free(now, target).slots;
 }
--- a/src/libs/routing/holder_slots.h
+++ b/src/libs/routing/holder_slots.h
@@ -1,6 +1,7 @@
 // Slots from the loans of this entry VM.
 #pragma once
 
+#include "base/random.h"
 #include "lending/holder.h"
 #include "routing/types.h"
 
@@ -19,6 +20,13 @@
   /// get one more than others depends on the holder, so that holders don't all ask the same ones.
   void SpreadDemand(const std::vector<TargetIndex>& targets, int slots, int connections);
 
+  /// Counts a connection for a session at the target with more free connections out of two samples
+  /// of `targets`; a few more samples are taken when both are full. Nothing when all
+  /// samples are full.
+  std::optional<TargetIndex> OpenSession(base::TimePoint now,
+                                         const std::vector<TargetIndex>& targets,
+                                         base::Random& random);
+
  private:
   lending::Holder& holder;
 };
--- a/tests/auto/routing/tst_routing.cc
+++ b/tests/auto/routing/tst_routing.cc
@@ -2,8 +2,10 @@
 #include <map>
 #include <set>
 
+#include "lending/owner.h"
 #include "routing/connections.h"
 #include "routing/fair_queue.h"
+#include "routing/holder_slots.h"
 #include "routing/limits.h"
 #include "routing/router.h"
 
@@ -336,6 +338,38 @@
   CHECK(MayUseConnection(kStart, kStart - c.idle, kStart - c.unproven, c.idempotent) == c.usable);
 }
 
+// Guards against sessions that take slots, pile up on one target or exceed the lent connections.
+TEST_CASE("sessions take connections and spread over the targets") {
+  lending::Owner owner("a#1", 1);
+  lending::Holder holder("a#1");
+  HolderSlots slots(holder);
+  std::vector<TargetIndex> targets;
+  for (const std::string name : {"t1", "t2", "t3"}) {
+    lending::Announcement announcement{name, "", {1, 1}, 0, {8, 10}, {}, false};
+    announcement.nonce = owner.OnAnnouncement(kStart, announcement).nonce;
+    owner.OnAnnouncement(kStart, announcement);
+    targets.push_back(holder.SetOwner(name, "a#1", {1, 1}));
+  }
+  slots.SpreadDemand(targets, 8, 21);
+  for (const lending::Borrow& borrow : holder.Tick(kStart)) {
+    holder.OnLend(kStart, owner.OnBorrow(kStart, borrow));
+  }
+  base::Random random(4);
+  int opened = 0;
+  while (slots.OpenSession(kStart, targets, random)) {
+    ++opened;
+    if (opened == 12) {
+      for (const TargetIndex target : targets) {
+        CHECK(holder.InUse(target).connections >= 2);
+        CHECK(holder.InUse(target).slots == 0);
+      }
+    }
+  }
+  CHECK(opened <= 21);
+  CHECK(opened >= 19);
+  CHECK_FALSE(slots.OpenSession(kStart + lending::kLoanLength, targets, random));
+}
+
 // Guards against all sessions of a leaving target reconnecting at once.
 TEST_CASE("sessions move at a limited rate") {
   SessionBook book(50);
