--- a/src/libs/routing/limits.h
+++ b/src/libs/routing/limits.h
@@ -37,10 +37,14 @@
 /// Limit on requests in flight that shrinks when latency grows and returns by itself.
 ///
 /// Additive increase and multiplicative decrease on the mean latency of an interval, compared with
-/// the lowest of such means, which itself drifts upwards so that a lasting change is accepted.
+/// the lowest of such means. When a lower limit doesn't lower the latency, the load isn't its
+/// cause, and the comparison moves up; it also drifts upwards slowly.
 class AdaptiveLimit {
  public:
   void OnAnswer(base::TimePoint now, base::Duration latency, int in_flight);
+  /// A request was cancelled at its deadline after running for `so_far`. The answers of such an
+  /// interval are those of the shorter requests, so it doesn't lower the comparison.
+  void OnCancelled(base::Duration so_far);
   [[nodiscard]] int Limit() const { return static_cast<int>(this->limit); }
 
   static constexpr int kLowest = 4;
@@ -49,10 +53,14 @@
  private:
   double limit = 10000;
   double baseline_us = 0;
+  double mean_before_decreases_us = 0;
+  int decreases = 0;
   double sum_us = 0;
   int count = 0;
   int most_in_flight = 0;
   base::TimePoint interval_end;
+  bool started = false;
+  bool censored = false;
 };
 
 /// Rate of completions, measured over the last second.
