--- a/src/libs/placement/scheduler.cc
+++ b/src/libs/placement/scheduler.cc
@@ -41,6 +41,9 @@
 // Targets compared first when a job seems to fit none.
 constexpr std::size_t kFewTargets = 64;
 
+// How many times more candidates are looked at when a policy refuses the first ones.
+constexpr std::size_t kWiderSearch = 16;
+
 // Remembered needs that don't fit; more would cost more to compare than a search of the index.
 constexpr std::size_t kMaxMisses = 32;
 
@@ -157,14 +160,16 @@
     return best;
   }
 
-  void Collect(const WaitingJob& job, DomainNumber domain, bool largest_first, std::size_t limit) {
+  void Collect(const WaitingJob& job, DomainNumber domain, bool largest_first, std::size_t limit,
+               std::size_t offset) {
     const bool compares = this->policy->ComparesTargets();
     this->fleet.FreeIndex().Collect(
         {.need = job.request.reserve,
          .domain = domain,
          .largest_first = largest_first,
          .limit = limit,
-         .per_bucket = compares ? std::max<std::size_t>(2, limit / 4) : limit},
+         .per_bucket = compares ? std::max<std::size_t>(2, limit / 4) : limit,
+         .offset = offset},
         this->candidates);
   }
 
@@ -174,21 +179,22 @@
     this->candidates.clear();
     if (this->policy->ComparesTargets()) {
       // Candidates from both ends differ most in what they carry.
-      this->Collect(job, domain, largest_first, (limit + 1) / 2);
-      this->Collect(job, domain, !largest_first, limit);
+      this->Collect(job, domain, largest_first, (limit + 1) / 2, this->rotation);
+      this->Collect(job, domain, !largest_first, limit, this->rotation);
       return this->Best(now, job);
     }
-    this->Collect(job, domain, largest_first, limit);
+    this->Collect(job, domain, largest_first, limit, 0);
     if (auto found = this->Best(now, job); found || this->candidates.size() < limit) return found;
     // The policy may refuse all targets at one end, as when none of the used ones may be shared.
     this->candidates.clear();
-    this->Collect(job, domain, !largest_first, limit);
+    this->Collect(job, domain, !largest_first, kWiderSearch * limit, this->rotation);
     return this->Best(now, job);
   }
 
   // The best target in the first domain of `place` that has one, or over all domains.
   std::optional<Placement> Search(TimePoint now, const WaitingJob& job, bool& any_fits) {
     const RowSpec& row = this->queue.Row(job.row);
+    ++this->rotation;
     const auto try_domain = [&](DomainNumber domain, std::size_t limit) {
       auto found = this->SearchDomain(now, job, domain, limit);
       any_fits = any_fits || !this->candidates.empty();
@@ -206,7 +212,6 @@
     if (domains == 0) return std::nullopt;
     const std::size_t each = std::max<std::size_t>(2, this->settings.candidates / domains);
     std::optional<Placement> best;
-    ++this->rotation;
     for (std::size_t step = 0; step < domains; ++step) {
       const auto domain = static_cast<DomainNumber>((this->rotation + step) % domains);
       const auto found = try_domain(domain, each);
--- a/src/libs/placement/target_index.cc
+++ b/src/libs/placement/target_index.cc
@@ -132,7 +132,8 @@
   void CollectFromCell(const IndexQuery& query, const std::vector<TargetNumber>& cell,
                        std::vector<TargetNumber>& found) const {
     std::size_t taken = 0;
-    for (const TargetNumber target : cell) {
+    for (std::size_t i = 0; i < cell.size(); ++i) {
+      const TargetNumber target = cell[(query.offset + i) % cell.size()];
       if (!query.need.FitsIn(this->entries[target].free)) continue;
       found.push_back(target);
       if (++taken == query.per_bucket || found.size() >= query.limit) return;
--- a/src/libs/placement/target_index.h
+++ b/src/libs/placement/target_index.h
@@ -27,6 +27,8 @@
   std::size_t limit = 1;
   /// At most this many of about the same free amounts, so that the candidates differ.
   std::size_t per_bucket = 1;
+  /// Where to begin among targets of about the same free amounts.
+  std::size_t offset = 0;
 };
 
 /// Grid over the free amounts of targets for each failure domain and number of free accelerators.
--- a/tests/auto/placement/tst_scheduler.cc
+++ b/tests/auto/placement/tst_scheduler.cc
@@ -395,5 +395,29 @@
   CHECK(actions == std::vector{A::kThrottle, A::kCheckpoint, A::kStop});
 }
 
+// Guards against tasks that stay throttled for ever because the service stays between the bounds.
+TEST_CASE("throttled tasks are released when the service stays below its bound") {
+  Fixture f(1);
+  f.scheduler.SetRows(kStart, OneRow({}), {});
+  f.Submit(1, "r", {8000, 10, 0}, 3600);
+  f.Step();
+  std::vector<jobs::TaskAction> actions;
+  for (int i = 0; i < 60; ++i) {
+    f.scheduler.OnServiceLatency(f.now, "t0", i < 4 ? 1.2 : 0.9);
+    for (const Order& order : f.Step(milliseconds(500)).orders) actions.push_back(order.action);
+  }
+  CHECK(actions == std::vector{jobs::TaskAction::kThrottle, jobs::TaskAction::kUnthrottle});
+}
+
+// Guards against a policy that refuses the used targets at one end of the index and never sees the
+// empty ones at the other.
+TEST_CASE("empty targets are found behind used ones") {
+  Fixture f(80, {16000, 60000, 0}, MakeNoSharing());
+  f.scheduler.SetRows(kStart, OneRow({}), {});
+  for (JobId job = 1; job <= 80; ++job) f.Submit(job, "r", {1000, 10, 0});
+  f.Step();
+  CHECK(f.running.size() == 80);
+}
+
 }  // namespace
 }  // namespace mangoroad::placement
