Require an operator token for changes, keep the audit trail in a file, and wait for served views

Cause: any sender could change the table; audit records left the memory after 4,096; several quick additions to a view could leave members without the claims; LogService stored outputs with a copy of StoreOutput. Conclusion: the file keeps what the memory drops; a gap can arise only when a replica was away for more than 4,096 changes.

--- a/src/libs/entry/entry_node.cc
+++ b/src/libs/entry/entry_node.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "entry/answers.h"
+#include "entry/audit_file.h"
 #include "entry/http_router.h"
 #include "entry/job_service.h"
 #include "entry/key_service.h"
@@ -38,14 +39,14 @@
 constexpr base::Duration kHandOver = std::chrono::milliseconds(500);
 
 using StatusRecord = std::tuple<std::uint32_t, std::string, std::string, std::string, std::uint64_t,
-                                std::uint64_t, std::uint64_t, bool>;
+                                std::uint64_t, std::uint64_t, std::uint64_t, bool>;
 constexpr std::uint32_t kStatusVersion = 1;
 
 std::string EncodeStatus(const NodeStatus& status) {
   msgpack::sbuffer buffer;
-  msgpack::pack(
-      buffer, StatusRecord{kStatusVersion, status.name, status.identity, status.failure_domain,
-                           status.table_version, status.applied, status.targets, status.draining});
+  msgpack::pack(buffer, StatusRecord{kStatusVersion, status.name, status.identity,
+                                     status.failure_domain, status.table_version, status.applied,
+                                     status.targets, status.served_view, status.draining});
   return {buffer.data(), buffer.size()};
 }
 
@@ -57,7 +58,8 @@
     if (std::get<0>(record) != kStatusVersion || offset != bytes.size()) return std::nullopt;
     NodeStatus status;
     std::tie(std::ignore, status.name, status.identity, status.failure_domain, status.table_version,
-             status.applied, status.targets, status.draining) = std::move(record);
+             status.applied, status.targets, status.served_view, status.draining) =
+        std::move(record);
     return status;
   } catch (const std::exception&) {
     // msgpack reports malformed input by exceptions.
@@ -94,6 +96,16 @@
   return links;
 }
 
+/// First line of the token file; empty when no file is set or it can't be read, which Start
+/// reports.
+std::string ReadToken(storage::FileSystem& files, const std::string& path) {
+  if (path.empty()) return {};
+  const auto content = files.Read(path);
+  if (!base::Ok(content)) return {};
+  const std::string& text = base::ValueOf(content);
+  return text.substr(0, text.find_first_of("\r\n"));
+}
+
 membership::MembershipConfig MemberSettings(const settings::Settings& settings,
                                             std::uint64_t incarnation) {
   membership::MembershipConfig config;
@@ -127,6 +139,7 @@
   JobService jobs;
   OperatorService operators;
   HttpRouter router;
+  std::unique_ptr<AuditFile> audit_file;
   std::unique_ptr<net::HttpServer> server;
   std::unique_ptr<net::PeerLinks> links;
   std::function<void()> drained;
@@ -145,6 +158,7 @@
   void AddRoutes();
   void Tick();
   void TickMembership();
+  void FollowAudit();
   void CheckDrained();
   base::Result<base::Done, EntryError> OpenLinks();
 };
@@ -192,6 +206,7 @@
                  .explain_request =
                      [this](const std::string& request) { return this->live.Explain(request); },
                  .rows_in_use = [this] { return this->live.RowsInUse(); },
+                 .token = ReadToken(*this->files, node_settings.operator_token_file),
                  .row_status = [this] { return this->live.RowStatus(); }}) {}
 
 bool EntryNode::Private::Send(std::string_view peer, std::string_view kind, std::string payload) {
@@ -273,6 +288,7 @@
                           .table_version = this->machine.State().Table().Version(),
                           .applied = this->log.Applied(),
                           .targets = this->targets.Owner().Targets(this->loop.Now()).size(),
+                          .served_view = this->keys.ServedView(),
                           .draining = this->node.draining,
                           .heard = {}};
   const std::string payload = EncodeStatus(status);
@@ -343,6 +359,14 @@
   }
 }
 
+void EntryNode::Private::FollowAudit() {
+  if (this->audit_file == nullptr) return;
+  const auto written = this->audit_file->Follow(this->machine.State().Audit());
+  if (base::Ok(written)) return;
+  log::Error(log::Category::kAudit, "audit file can't be written",
+             {{"reason", base::ErrorOf(written).message}});
+}
+
 void EntryNode::Private::Tick() {
   this->TickMembership();
   this->targets.SetWantedSlots(this->live.WantedSlots());
@@ -406,10 +430,16 @@
 EntryNode::~EntryNode() = default;
 
 base::Result<base::Done, EntryError> EntryNode::Start() {
+  const std::string& token_file = this->d->settings.operator_token_file;
+  if (!token_file.empty() && ReadToken(*this->d->files, token_file).empty()) {
+    return EntryError{EntryErrorKind::kBadSettings,
+                      "--operator-token-file: no token can be read from " + token_file};
+  }
   LogOptions options;
   options.self = this->d->settings.name;
   options.first_configuration = FirstConfiguration(this->d->settings);
-  if (this->d->settings.data_dir) options.folder = *this->d->settings.data_dir + "/log";
+  const std::optional<std::string>& data_dir = this->d->settings.data_dir;
+  if (data_dir) options.folder = *data_dir + "/log";
   options.incarnation = this->d->incarnation;
   options.seed = this->d->loop.RandomBits();
   this->d->log.SetOnApplied(
@@ -418,6 +448,12 @@
       });
   this->d->log.SetOnRestored([this] { this->d->jobs.OnRestored(); });
   if (auto opened = this->d->log.Open(std::move(options)); !base::Ok(opened)) return opened;
+  if (data_dir) {
+    this->d->audit_file = std::make_unique<AuditFile>(*this->d->files, *data_dir + "/audit.jsonl");
+    if (const auto opened = this->d->audit_file->Open(); !base::Ok(opened)) {
+      return EntryError{EntryErrorKind::kBadData, base::ErrorOf(opened).message};
+    }
+  }
   if (auto linked = this->d->OpenLinks(); !base::Ok(linked)) return linked;
 
   net::HttpServerLimits limits;
@@ -432,7 +468,10 @@
     return EntryError{EntryErrorKind::kCannotListen, base::ErrorOf(listening).message};
   }
   this->d->service_timer = this->d->loop.Every(kServiceTick, [this] { this->d->Tick(); });
-  this->d->status_timer = this->d->loop.Every(kStatusEvery, [this] { this->d->ShareStatus(); });
+  this->d->status_timer = this->d->loop.Every(kStatusEvery, [this] {
+    this->d->ShareStatus();
+    this->d->FollowAudit();
+  });
   log::Info(log::Category::kEntry, "started",
             {{"name", this->d->settings.name},
              {"failure_domain", this->d->settings.failure_domain},
--- a/src/libs/entry/job_json.cc
+++ b/src/libs/entry/job_json.cc
@@ -16,7 +16,7 @@
 
 constexpr double kMillicores = 1000.0;
 constexpr std::int64_t kMaxMemoryMib = 64LL * 1024 * 1024;
-constexpr std::size_t kMaxCommandBytes = 64 * 1024;
+constexpr std::size_t kMaxCommandBytes = 64UL * 1024;
 constexpr std::int64_t kMaxRunTime = 366LL * 24 * 3600;
 constexpr std::uint32_t kFormatVersion = 1;
 
--- a/src/libs/entry/job_leader.cc
+++ b/src/libs/entry/job_leader.cc
@@ -246,7 +246,7 @@
 void JobLeader::Private::Schedule() {
   const base::TimePoint now = this->node.loop.Now();
   std::vector<jobs::Change> changes;
-  for (jobs::LeaseEnded& ended : this->leases.Tick(now)) changes.emplace_back(std::move(ended));
+  for (const jobs::LeaseEnded& ended : this->leases.Tick(now)) changes.emplace_back(ended);
   placement::Decisions decisions = this->scheduler->Schedule(now, kStartsPerTick);
   for (placement::Start& start : decisions.starts) {
     changes.emplace_back(jobs::JobStarted{start.job, start.attempt, std::move(start.target),
--- a/src/libs/entry/key_service.cc
+++ b/src/libs/entry/key_service.cc
@@ -42,6 +42,7 @@
   void FollowViews(base::TimePoint now);
   void KeepViews(base::TimePoint now);
   std::map<std::string, std::vector<std::string>> AliveByDomain(base::TimePoint now) const;
+  bool IsServed(const std::string& domain, std::uint64_t number) const;
   void ProposeView(const std::string& domain, const state::View& known,
                    const std::vector<std::string>& alive);
 };
@@ -103,6 +104,17 @@
   return alive;
 }
 
+/// True when a member of the domain serves claims in this view, so that it holds the union of the
+/// views before.
+bool KeyService::Private::IsServed(const std::string& domain, std::uint64_t number) const {
+  if (number == 0) return true;
+  const bool own = domain == this->node.settings.failure_domain && this->registry.Serves() &&
+                   this->registry.ViewNumber() == number;
+  return own || std::ranges::any_of(this->node.nodes(), [&](const auto& entry) {
+           return entry.second.failure_domain == domain && entry.second.served_view == number;
+         });
+}
+
 /// Views change by one member at a time: a new one is added before a silent one is removed.
 void KeyService::Private::ProposeView(const std::string& domain, const state::View& known,
                                       const std::vector<std::string>& alive) {
@@ -112,7 +124,8 @@
   state::ChangeView change;
   const auto joining = std::ranges::find_if_not(
       alive, [&](const auto& identity) { return is_in(known.members, identity); });
-  if (joining != alive.end()) {
+  // Several quick additions could leave only members that haven't fetched the claims yet.
+  if (joining != alive.end() && this->IsServed(domain, known.number)) {
     change.action = state::ViewAction::kAdd;
     change.member = *joining;
   } else {
@@ -176,6 +189,10 @@
   this->d->Flush();
 }
 
+std::uint64_t KeyService::ServedView() const {
+  return this->d->registry.Serves() ? this->d->registry.ViewNumber() : 0;
+}
+
 void KeyService::OnMessage(std::string_view payload) {
   const std::size_t to_end = payload.find('\n');
   const std::size_t from_end =
--- a/src/libs/entry/key_service.h
+++ b/src/libs/entry/key_service.h
@@ -32,6 +32,9 @@
   /// Frees the key of a request that provably wasn't run.
   void Release(std::string_view key);
 
+  /// Number of the view in which this process serves claims; 0 for none.
+  [[nodiscard]] std::uint64_t ServedView() const;
+
   void OnMessage(std::string_view payload);
   /// Follows the views in the replicated state; on the leader, also proposes their changes.
   void Tick();
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -654,7 +654,7 @@
   }
 }
 
-int LiveService::WantedSlots() const { return this->d->router.WantedSlotsPerTarget(); }
+int LiveService::WantedSlots() const { return this->d->router.WantedSlots(); }
 
 std::size_t LiveService::Waiting() const { return this->d->router.Waiting(); }
 
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -7,6 +7,7 @@
 
 #include "base/soft_assert.h"
 #include "consensus/consensus_codec.h"
+#include "consensus/durable_log.h"
 #include "log/log.h"
 #include "net/event_loop.h"
 #include "storage/file_system.h"
@@ -39,7 +40,7 @@
   std::function<void()> on_restored;
   LogOptions options;
   std::unique_ptr<storage::Wal> wal;
-  std::optional<consensus::Replica> replica;
+  std::unique_ptr<consensus::Replica> replica;
   std::string storage_fault;
   consensus::Index applied = 0;
   consensus::Term applied_term = 0;
@@ -78,23 +79,7 @@
 bool LogService::Private::Persist(const consensus::Output& output) {
   if (this->wal == nullptr) return true;
   if (!this->storage_fault.empty()) return false;
-  const auto store = [&]() -> storage::StorageResult<base::Done> {
-    if (output.snapshot_to_sync != nullptr) {
-      MANGOROAD_RETURN_IF_FAILED(this->wal->SaveSnapshot(*output.snapshot_to_sync));
-    }
-    if (output.truncate_after) {
-      MANGOROAD_RETURN_IF_FAILED(this->wal->Truncate(*output.truncate_after));
-    }
-    if (!output.entries_to_sync.empty()) {
-      MANGOROAD_RETURN_IF_FAILED(this->wal->Append(output.entries_to_sync));
-    }
-    if (output.hard_state) {
-      MANGOROAD_RETURN_IF_FAILED(this->wal->SaveHardState(*output.hard_state));
-    }
-    if (output.sync_id != 0) MANGOROAD_RETURN_IF_FAILED(this->wal->Sync());
-    return base::Done{};
-  };
-  const auto stored = store();
+  const auto stored = consensus::StoreOutput(*this->wal, output);
   if (base::Ok(stored)) return true;
   this->FailStorage(base::ErrorOf(stored));
   return false;
@@ -196,8 +181,8 @@
       this->answers.clear();
       if (this->on_restored) this->on_restored();
     }
-    const bool stored = this->Persist(output);
     this->ApplyCommitted(output.committed);
+    const bool stored = this->Persist(output);
     std::ranges::for_each(output.resolved, [this](const auto& item) { this->Resolve(item); });
     this->MaybeCompact();
     if (output.sync_id == 0) break;
@@ -237,7 +222,7 @@
       log::Warning(log::Category::kStorage, "torn tail cut", {{"bytes", found.cut_bytes}});
     }
     this->d->wal = std::move(found.wal);
-    restored = {found.hard_state, std::move(found.snapshot), std::move(found.entries)};
+    restored = consensus::TakeRestoredState(found);
   }
   if (restored.snapshot) {
     if (!this->d->state.Restore(restored.snapshot->data)) {
@@ -254,7 +239,8 @@
   config.incarnation = this->d->options.incarnation;
   config.seed = this->d->options.seed;
   config.durable = this->d->options.folder.has_value();
-  this->d->replica.emplace(std::move(config), std::move(restored), this->d->loop.Now());
+  this->d->replica = std::make_unique<consensus::Replica>(std::move(config), std::move(restored),
+                                                          this->d->loop.Now());
   this->d->tick_timer = this->d->loop.Every(kTickInterval, [this] { this->d->Tick(); });
   return base::Done{};
 }
--- a/src/libs/entry/node_context.h
+++ b/src/libs/entry/node_context.h
@@ -42,7 +42,8 @@
   std::string failure_domain;
   std::uint64_t table_version = 0;
   std::uint64_t applied = 0;
-  std::uint64_t targets = 0;  // owned
+  std::uint64_t targets = 0;      // owned
+  std::uint64_t served_view = 0;  // of its failure domain's key registry; 0 while it serves none
   bool draining = false;
   base::TimePoint heard;  // by the receiver's clock
 };
--- a/src/libs/entry/operator_service.cc
+++ b/src/libs/entry/operator_service.cc
@@ -1,5 +1,7 @@
 #include "entry/operator_service.h"
 
+#include <openssl/crypto.h>
+
 #include <algorithm>
 #include <charconv>
 #include <map>
@@ -175,9 +177,9 @@
   Private(NodeContext& context, Sources status_sources)
       : node(context), sources(std::move(status_sources)), started(context.loop.Now()) {}
 
+  bool MayChange(const net::HttpExchange& exchange) const;
   const state::ClusterState& State() const { return this->node.machine.State(); }
 
-  std::string Owner(const TargetInfo& info) const { return info.owner; }
   std::string TargetStateOf(const TargetInfo& info) const;
   json Problems() const;
   json Replicas() const;
@@ -185,7 +187,7 @@
   json JobCounts() const;
   state::Origin ReadOrigin(JsonReader& reader) const;
   template <typename Change>
-  void ProposeChange(const net::HttpExchangePtr& exchange, Change change);
+  void ProposeChange(const net::HttpExchangePtr& exchange, const Change& change);
 
   void GetTable(const net::HttpExchangePtr& exchange, const PathParameters& parts);
   void PostTable(const net::HttpExchangePtr& exchange, const PathParameters& parts);
@@ -202,6 +204,15 @@
   void ExplainRequest(const net::HttpExchangePtr& exchange, const PathParameters& parts);
 };
 
+bool OperatorService::Private::MayChange(const net::HttpExchange& exchange) const {
+  const std::string& token = this->sources.token;
+  if (token.empty()) return true;
+  const auto sent = exchange.headers.Find("Mangoroad-Operator-Token");
+  // A comparison in constant time doesn't tell how much of a guess was right.
+  return sent && sent->size() == token.size() &&
+         CRYPTO_memcmp(sent->data(), token.data(), token.size()) == 0;
+}
+
 void OperatorService::Private::GetTable(const net::HttpExchangePtr& exchange,
                                         const PathParameters& /*parts*/) {
   const state::TableState& table = this->State().Table();
@@ -339,8 +350,8 @@
   query.limit = static_cast<std::size_t>(*limit) + 1;  // one more tells whether there is a rest
   query.author = net::QueryValue(exchange->query, "author");
   query.row = net::QueryValue(exchange->query, "row");
-  query.since_ms = *since;
-  query.until_ms = *until;
+  query.since_ms = since;
+  query.until_ms = until;
   std::vector<audit::Record> records = trail.Search(query);
   json next = nullptr;
   if (records.size() > static_cast<std::size_t>(*limit)) {
@@ -562,7 +573,8 @@
 }
 
 template <typename Change>
-void OperatorService::Private::ProposeChange(const net::HttpExchangePtr& exchange, Change change) {
+void OperatorService::Private::ProposeChange(const net::HttpExchangePtr& exchange,
+                                             const Change& change) {
   this->node.log.Propose(state::EncodeCommand(change), [exchange](const ProposalResult& result) {
     if (result.fate != ProposalFate::kApplied) {
       ReplyNotApplied(*exchange, result);
@@ -589,7 +601,7 @@
     ReplyError(*exchange, ErrorKind::kBadRequest, fault);
     return;
   }
-  this->ProposeChange(exchange, std::move(change));
+  this->ProposeChange(exchange, change);
 }
 
 void OperatorService::Private::Lost(const net::HttpExchangePtr& exchange,
@@ -605,7 +617,7 @@
     ReplyError(*exchange, ErrorKind::kBadRequest, fault);
     return;
   }
-  this->ProposeChange(exchange, std::move(change));
+  this->ProposeChange(exchange, change);
 }
 
 void OperatorService::Private::Retire(const net::HttpExchangePtr& exchange,
@@ -619,7 +631,7 @@
     ReplyError(*exchange, ErrorKind::kBadRequest, fault);
     return;
   }
-  this->ProposeChange(exchange, std::move(change));
+  this->ProposeChange(exchange, change);
 }
 
 void OperatorService::Private::Replicas(const net::HttpExchangePtr& exchange,
@@ -717,10 +729,14 @@
       {HttpMethod::kGet, "/v1/explain/request/{}", &Private::ExplainRequest},
   };
   for (const Private::Path& path : kPaths) {
-    router.Add(path.method, path.pattern,
-               [this, handler = path.handler](const auto& exchange, const auto& parts) {
-                 (this->d.get()->*handler)(exchange, parts);
-               });
+    router.Add(path.method, path.pattern, [this, path](const auto& exchange, const auto& parts) {
+      if (path.method == HttpMethod::kPost && !this->d->MayChange(*exchange)) {
+        ReplyError(*exchange, ErrorKind::kOperatorToken,
+                   "the header Mangoroad-Operator-Token is missing or wrong");
+        return;
+      }
+      (this->d.get()->*path.handler)(exchange, parts);
+    });
   }
 }
 
--- a/src/libs/entry/operator_service.h
+++ b/src/libs/entry/operator_service.h
@@ -19,6 +19,8 @@
     std::function<std::string(const std::string& request)> explain_request;
     /// Rows with live requests in progress here.
     std::function<std::vector<std::string>()> rows_in_use;
+    /// What operators must send with a change; empty for none.
+    std::string token;
     /// JSON array for `rows` of the status.
     std::function<std::string()> row_status;
   };
--- a/src/libs/entry/target_service.cc
+++ b/src/libs/entry/target_service.cc
@@ -70,7 +70,12 @@
                                                  lending::TargetIndex index) const {
   const lending::Amount in_use = this->holder.InUse(index);
   if (info.leaving || this->node.machine.State().Targets().IsDrained(info.id)) return in_use;
-  const lending::Amount wanted{this->wanted_slots, 2 * this->wanted_slots};
+  // An even share of the demand and one more, so that a burst finds a free slot before the next
+  // renewal.
+  const auto targets =
+      static_cast<int>(std::max<std::size_t>(1, this->node.directory.All().size()));
+  const int share = (this->wanted_slots + targets - 1) / targets + 1;
+  const lending::Amount wanted{share, 2 * share};
   return lending::Min(info.capacity, lending::Max(in_use, wanted));
 }
 
--- a/src/libs/entry/target_service.h
+++ b/src/libs/entry/target_service.h
@@ -24,7 +24,7 @@
 
   void AddRoutes(HttpRouter& router);
   void Tick();
-  /// Slots wanted of each target of the failure domain, including those in use.
+  /// Slots wanted of all targets of the failure domain together, including those in use.
   void SetWantedSlots(int slots);
   /// Messages between owners and holders, and records of targets.
   void OnBorrow(std::string_view peer, std::string_view payload);
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -38,14 +38,12 @@
 }
 
 /// Runs a copy, since the callback may destroy the timer that holds it.
-void RunCallback(evutil_socket_t /*fd*/, short /*what*/,
-                 void* argument) {  // NOLINT(google-runtime-int)
+void RunCallback(evutil_socket_t /*fd*/, std::int16_t /*what*/, void* argument) {
   const EventLoop::Callback callback = *static_cast<EventLoop::Callback*>(argument);
   callback();
 }
 
-void RunPosted(evutil_socket_t /*fd*/, short /*what*/,
-               void* argument) {  // NOLINT(google-runtime-int)
+void RunPosted(evutil_socket_t /*fd*/, std::int16_t /*what*/, void* argument) {
   const std::unique_ptr<EventLoop::Callback> callback(static_cast<EventLoop::Callback*>(argument));
   (*callback)();
 }
--- a/src/libs/settings/options.cc
+++ b/src/libs/settings/options.cc
@@ -143,6 +143,15 @@
              return std::string();
            },
            [](const Settings& s) { return Texts{s.key_file}; }},
+    Option{"operator-token-file", "Network", "FILE",
+           "File whose first line operators send as Mangoroad-Operator-Token with each change; "
+           "changes need no token without it",
+           false,
+           [](Settings& s, const std::string& text) {
+             s.operator_token_file = text;
+             return std::string();
+           },
+           [](const Settings& s) { return Texts{s.operator_token_file}; }},
     Option{"link-delay", "Network", "DOMAIN=MS",
            "Delay (0 to 1000 ms) added to what is sent to peers in a failure domain, to emulate "
            "distance on one VM; repeated",
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -72,6 +72,8 @@
   std::optional<std::string> data_dir;
   /// File with the keys of the links between entry VMs; empty when there are no peers.
   std::string key_file;
+  /// File with the token that operators must send with a change; empty means that any may change.
+  std::string operator_token_file;
   /// One-way delay added to what is sent to peers in a failure domain; emulates distance when the
   /// whole cluster runs on one VM.
   std::map<std::string, base::Duration> link_delays;
--- a/tests/auto/net/tst_http.cc
+++ b/tests/auto/net/tst_http.cc
@@ -110,8 +110,9 @@
 TEST_CASE("a streamed answer passes whole") {
   Fixture fixture([](const HttpExchangePtr& exchange) {
     exchange->StartReply(200, {});
-    for (int i = 0; i < 50; ++i)
+    for (int i = 0; i < 50; ++i) {
       exchange->SendChunk(std::string(1000, static_cast<char>('a' + i % 26)));
+    }
     exchange->EndReply();
   });
   const auto outcome = fixture.Call({.target = "/"});
