--- /dev/null
+++ b/src/libs/placement/miss_table.cc
@@ -0,0 +1,32 @@
+#include "placement/miss_table.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace mangoroad::placement::internal {
+namespace {
+
+// More remembered needs would cost more to compare than a search of the index.
+constexpr std::size_t kMaxMisses = 32;
+
+}  // namespace
+
+bool MissTable::Contains(std::uint64_t now_epoch, std::uint64_t domains,
+                         const jobs::Resources& need) {
+  if (this->epoch != now_epoch) {
+    this->misses.clear();
+    this->epoch = now_epoch;
+  }
+  return std::ranges::any_of(this->misses, [&](const Miss& miss) {
+    return (domains & ~miss.domains) == 0 && miss.need.FitsIn(need);
+  });
+}
+
+void MissTable::Add(std::uint64_t domains, const jobs::Resources& need) {
+  std::erase_if(this->misses, [&](const Miss& miss) {
+    return (miss.domains & ~domains) == 0 && need.FitsIn(miss.need);
+  });
+  if (this->misses.size() < kMaxMisses) this->misses.push_back({domains, need});
+}
+
+}  // namespace mangoroad::placement::internal
--- a/src/libs/placement/scheduler.cc
+++ b/src/libs/placement/scheduler.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -13,6 +12,7 @@
 #include "placement/fair_queue.h"
 #include "placement/fleet.h"
 #include "placement/latency_guard.h"
+#include "placement/miss_table.h"
 #include "placement/preemption.h"
 #include "placement/strategy.h"
 
@@ -44,17 +44,8 @@
 // How many times more candidates are looked at when a policy refuses the first ones.
 constexpr std::size_t kWiderSearch = 16;
 
-// Remembered needs that don't fit; more would cost more to compare than a search of the index.
-constexpr std::size_t kMaxMisses = 32;
-
 double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-/// A need that found no room since the epoch began.
-struct Miss {
-  std::uint64_t domains = 0;
-  Resources need{};
-};
-
 struct Placement {
   TargetNumber target = 0;
   double score = 0;
@@ -81,8 +72,7 @@
   // Decided between two calls of Schedule().
   std::vector<Order> orders;
   std::vector<UnplaceableJob> set_aside;
-  std::vector<Miss> misses;
-  std::uint64_t misses_epoch = 0;
+  MissTable misses;
   std::vector<std::uint64_t> row_domains;
   std::uint32_t rotation = 0;
   std::size_t clearings_left = 0;
@@ -118,25 +108,6 @@
     this->row_domains.at(row) = spec.place.empty() ? ~std::uint64_t{0} : domains;
   }
 
-  // True when no less demanding need found room since the epoch began.
-  bool IsMissed(std::uint64_t domains, const Resources& need) {
-    if (this->misses_epoch != this->fleet.Epoch()) {
-      this->misses.clear();
-      this->misses_epoch = this->fleet.Epoch();
-    }
-    return std::ranges::any_of(this->misses, [&](const Miss& miss) {
-      return (domains & ~miss.domains) == 0 && miss.need.FitsIn(need);
-    });
-  }
-
-  // Remembers a need that found no room; more demanding ones needn't be remembered then.
-  void AddMiss(std::uint64_t domains, const Resources& need) {
-    std::erase_if(this->misses, [&](const Miss& miss) {
-      return (miss.domains & ~domains) == 0 && need.FitsIn(miss.need);
-    });
-    if (this->misses.size() < kMaxMisses) this->misses.push_back({domains, need});
-  }
-
   // Compares the candidates and keeps the best; gives nothing when the policy refuses all.
   std::optional<Placement> Best(TimePoint now, const WaitingJob& job) {
     const RowSpec& row = this->queue.Row(job.row);
@@ -267,10 +238,9 @@
     for (DomainNumber domain = 0; domain < this->fleet.DomainCount(); ++domain) {
       if (!IsInPlace(row, this->fleet.DomainName(domain))) continue;
       // All targets are compared only when many of them don't take the row.
-      const auto few = this->FitsAmong(row, need, domain, kFewTargets);
-      const auto all = this->fleet.KnownCount() + 1;
-      if (few.value_or(false)) return true;
-      if (!few && this->FitsAmong(row, need, domain, all).value_or(false)) return true;
+      auto fits = this->FitsAmong(row, need, domain, kFewTargets);
+      if (!fits) fits = this->FitsAmong(row, need, domain, this->fleet.KnownCount() + 1);
+      if (fits.value_or(false)) return true;
     }
     return false;
   }
@@ -335,14 +305,14 @@
     WaitingJob& job = *this->queue.Find(id);
     const std::uint64_t domains = this->DomainsOf(job.row);
     bool any_fits = false;
-    if (!this->IsMissed(domains, job.request.reserve)) {
+    if (!this->misses.Contains(this->fleet.Epoch(), domains, job.request.reserve)) {
       if (const auto placement = this->Search(now, job, any_fits)) {
         if (const auto removed = this->queue.Remove(id)) {
           this->Reserve(now, *removed, *placement, decisions);
         }
         return true;
       }
-      if (!any_fits) this->AddMiss(domains, job.request.reserve);
+      if (!any_fits) this->misses.Add(domains, job.request.reserve);
     }
     job.lacks = any_fits ? "a target where it may share" : "room";
     const base::Duration again =
@@ -490,9 +460,7 @@
     this->d->delayed_jobs.erase(entry);
   }
   Task* task = this->d->fleet.FindTask(job);
-  if (task != nullptr && !task->stopping) {
-    this->d->OrderStop(*task, "cancelled");
-  }
+  if (task != nullptr && !task->stopping) this->d->OrderStop(*task, "cancelled");
 }
 
 void Scheduler::Adopt(TimePoint now, const PendingJob& job, std::string_view target, Token token) {
@@ -588,7 +556,7 @@
   this->d->ReconsiderUnplaceable(now, decisions);
   this->d->PlaceCleared(now, decisions);
   const FairQueue::MayFit may_fit = [this](RowNumber row, const Resources& need) {
-    return !this->d->IsMissed(this->d->DomainsOf(row), need);
+    return !this->d->misses.Contains(this->d->fleet.Epoch(), this->d->DomainsOf(row), need);
   };
   while (decisions.starts.size() < budget) {
     const auto job = this->d->queue.Next(now, this->d->fleet.Epoch(), may_fit);
