Schedule with the learned interference model and learned usage

Cause: the daemon's scheduler shared targets blindly and reserved what jobs declare, though declared sizes are often far off. Change: JobLeader feeds reports into Interference and UsageModel, and builds the scheduler with the learned policy; a new leader reconsiders unplaceable jobs and counts incarnations after it has taken over the leases. Conclusion: what a leader has learned is soft state and starts anew with the next one.

--- a/src/libs/entry/job_leader.cc
+++ b/src/libs/entry/job_leader.cc
@@ -5,11 +5,14 @@
 #include <set>
 #include <utility>
 
+#include "interference/interference.h"
+#include "interference/usage_model.h"
 #include "jobs/jobs_codec.h"
 #include "jobs/lease_keeper.h"
 #include "log/log.h"
 #include "net/http_message.h"
 #include "placement/scheduler.h"
+#include "placement/sharing_policy.h"
 #include "state/state_codec.h"
 
 namespace mangoroad::entry {
@@ -21,12 +24,12 @@
 /// Share of a target's processors that is kept for the live services on it, in percent.
 constexpr std::int64_t kServiceReservePercent = 25;
 
-placement::PendingJob PendingOf(const jobs::Job& job) {
+placement::PendingJob PendingOf(const jobs::Job& job, const interference::UsageModel& usage) {
   placement::PendingJob pending;
   pending.job = job.id;
   pending.row = job.spec.row;
-  pending.reserve = job.spec.declared;
-  pending.run_time_s = static_cast<double>(job.spec.run_time_s);
+  pending.reserve = usage.ReserveFor(job.spec.row, job.spec.declared);
+  pending.run_time_s = usage.RunTimeFor(job.spec.row, job.spec.run_time_s).value;
   pending.checkpointable = job.spec.checkpointable;
   pending.urgent = job.spec.urgent;
   pending.attempt = job.attempt + 1;
@@ -42,7 +45,11 @@
   consensus::Term term = 0;
   std::uint64_t table_version = 0;
   jobs::LeaseKeeper leases;
+  /// Learned anew by each leader: what an earlier one knew was soft state.
+  std::unique_ptr<interference::Interference> model;
+  interference::UsageModel usage;
   std::unique_ptr<placement::Scheduler> scheduler;
+  std::map<std::string, jobs::Resources, std::less<>> capacities;           // of targets, by id
   std::map<std::string, std::string, std::less<>> addresses;                // of targets, by id
   std::map<std::string, std::vector<jobs::TaskOrder>, std::less<>> orders;  // by target
   std::set<std::string, std::less<>> lost;
@@ -57,6 +64,8 @@
   void Enqueue(const jobs::Job& job);
   void Propose(std::vector<jobs::Change> changes);
   void OnChange(const jobs::Change& change, const jobs::Answer& answer);
+  double ShareOf(const jobs::Job& job) const;
+  void Learn(base::TimePoint now, const ParsedReport& report);
   void EndTask(const jobs::Job& job, const jobs::Change& change);
   void SendStart(const jobs::Job& job);
   void Schedule();
@@ -68,20 +77,26 @@
   const base::TimePoint now = this->node.loop.Now();
   this->active = true;
   this->term = this->node.log.Status().term;
-  this->scheduler = std::make_unique<placement::Scheduler>(placement::MakeBlindSharing());
+  this->model = std::make_unique<interference::Interference>();
+  this->scheduler = std::make_unique<placement::Scheduler>(
+      placement::MakeModelSharing(placement::MakeLearnedPredictor(*this->model)));
   this->table_version = 0;
   this->LoadRows();
-  for (const auto& [id, info] : this->node.directory.All()) {
-    this->leases.OnIncarnation(now, id, info.fence.incarnation);
-  }
   std::vector<const jobs::Job*> held;
+  std::vector<jobs::Change> changes;
   this->Book().ForEachActive([&](const jobs::Job& job) {
     if (jobs::HoldsLease(job.state)) held.push_back(&job);
+    if (job.state == jobs::JobState::kUnplaceable) {
+      // The new scheduler hasn't compared the job with any target yet.
+      changes.emplace_back(jobs::JobReconsidered{job.id});
+    }
   });
   this->leases.BecomeLeader(now, held);
-  std::vector<TargetInfo> targets;
-  for (const auto& [id, info] : this->node.directory.All()) targets.push_back(info);
+  for (const auto& [id, info] : this->node.directory.All()) {
+    this->leases.OnIncarnation(now, id, info.fence.incarnation);
+  }
   this->Book().ForEachActive([&](const jobs::Job& job) { this->Enqueue(job); });
+  this->Propose(std::move(changes));
   log::Info(log::Category::kJobs, "scheduling starts",
             {{"term", this->term}, {"leases", held.size()}});
 }
@@ -89,6 +104,7 @@
 void JobLeader::Private::Retire() {
   this->active = false;
   this->scheduler.reset();
+  this->model.reset();
   this->orders.clear();
   log::Info(log::Category::kJobs, "scheduling ends", {{"term", this->term}});
 }
@@ -100,7 +116,10 @@
   std::vector<placement::RowSpec> rows;
   std::map<std::string, placement::TeamSpec> teams;
   for (const table::Row& row : table.Current().Rows()) {
-    if (row.work_class != table::WorkClass::kBatch) continue;
+    if (row.work_class != table::WorkClass::kBatch) {
+      this->model->SetService(row.row, static_cast<double>(row.deadline_ms));
+      continue;
+    }
     placement::RowSpec spec;
     spec.name = row.row;
     spec.team = row.team;
@@ -122,12 +141,13 @@
   const base::TimePoint now = this->node.loop.Now();
   if (jobs::IsTerminal(job.state)) return;
   if (jobs::HoldsLease(job.state)) {
-    placement::PendingJob pending = PendingOf(job);
+    placement::PendingJob pending = PendingOf(job, this->usage);
     pending.reserve = job.reserved;
     pending.attempt = job.attempt;
     this->scheduler->Adopt(now, pending, job.target, job.token);
+    this->model->OnTaskStarted(now, job.target, job.id, job.spec.row, this->ShareOf(job));
   } else {
-    this->scheduler->Submit(now, PendingOf(job));
+    this->scheduler->Submit(now, PendingOf(job, this->usage));
   }
 }
 
@@ -196,7 +216,8 @@
   }
   if (job.state == jobs::JobState::kCancelled) end = placement::TaskEnd::kCancelled;
   this->scheduler->OnTaskEnded(now, job.id, end);
-  if (!jobs::IsTerminal(job.state)) this->scheduler->Submit(now, PendingOf(job));
+  this->model->OnTaskEnded(now, job.target, job.id);
+  if (!jobs::IsTerminal(job.state)) this->scheduler->Submit(now, PendingOf(job, this->usage));
 }
 
 /// Follows what the log has applied; decisions count only from then on.
@@ -213,6 +234,7 @@
     }
     this->leases.OnApplied(now, *job);
     this->scheduler->OnTaskStarted(job->id, job->token);
+    this->model->OnTaskStarted(now, job->target, job->id, job->spec.row, this->ShareOf(*job));
     this->SendStart(*job);
     return;
   }
@@ -233,6 +255,43 @@
   }
 }
 
+/// Part of the target's processors that the task reserves.
+double JobLeader::Private::ShareOf(const jobs::Job& job) const {
+  const auto capacity = this->capacities.find(job.target);
+  if (capacity == this->capacities.end() || capacity->second.millicores == 0) return 0;
+  return std::min(1.0, static_cast<double>(job.reserved.millicores) /
+                           static_cast<double>(capacity->second.millicores));
+}
+
+/// Learns usage and interference from the measurements of a report, which are `report.age` old.
+void JobLeader::Private::Learn(base::TimePoint now, const ParsedReport& report) {
+  using interference::UsageKind;
+  const base::TimePoint taken_at = now - report.age;
+  const std::string& target = report.tasks.target;
+  this->model->OnReport(taken_at, target);
+  for (const jobs::TaskReport& task : report.tasks.tasks) {
+    const jobs::Job* job = this->Book().Find(task.job);
+    if (job == nullptr || task.state != jobs::TaskState::kRunning) continue;
+    this->scheduler->OnTaskProgress(now, task.job, {task.progress, task.checkpoint});
+    if (task.slowdown > 0) this->model->ObserveTask(taken_at, target, task.job, task.slowdown);
+    this->usage.Observe(job->spec.row, UsageKind::kProcessors,
+                        static_cast<double>(task.millicores_used),
+                        static_cast<double>(job->spec.declared.millicores));
+    this->usage.Observe(job->spec.row, UsageKind::kMemory,
+                        static_cast<double>(task.memory_mib_used),
+                        static_cast<double>(job->spec.declared.memory_mib));
+  }
+  double worst = 0;
+  const table::Table& table = this->node.machine.State().Table().Current();
+  for (const ServiceReport& service : report.services) {
+    this->model->ObserveService(taken_at, target, service.row, service.p99_ms, service.rate);
+    const table::Row* row = table.Find(service.row);
+    if (row == nullptr || row->deadline_ms == 0) continue;
+    worst = std::max(worst, service.p99_ms / static_cast<double>(row->deadline_ms));
+  }
+  if (!report.services.empty()) this->scheduler->OnServiceLatency(now, target, worst);
+}
+
 void JobLeader::Private::NoteLostTargets() {
   for (const auto& [id, mark] : this->node.machine.State().Targets().Marks()) {
     if (mark.lost_incarnation == 0 || this->lost.contains(id)) continue;
@@ -308,6 +367,7 @@
   const base::TimePoint now = this->d->node.loop.Now();
   for (const TargetInfo& info : targets) {
     this->d->addresses[info.id] = info.address;
+    this->d->capacities[info.id] = info.resources;
     if (!this->d->active) continue;
     this->d->leases.OnIncarnation(now, info.id, info.fence.incarnation);
     placement::TargetSpec spec;
@@ -333,10 +393,7 @@
   jobs::ReportDecision decision =
       this->d->leases.OnReport(now, report.tasks, this->d->node.log.MayLead());
   if (!decision.accepted) return std::nullopt;
-  for (const jobs::TaskReport& task : report.tasks.tasks) {
-    if (task.state != jobs::TaskState::kRunning) continue;
-    this->d->scheduler->OnTaskProgress(now, task.job, {task.progress, task.checkpoint});
-  }
+  this->d->Learn(now, report);
   this->d->Propose(std::move(decision.changes));
   for (const jobs::JobId id : decision.unreported) {
     if (const jobs::Job* job = this->d->Book().Find(id)) this->d->SendStart(*job);
