--- a/src/libs/entry/entry_node.cc
+++ b/src/libs/entry/entry_node.cc
@@ -369,7 +369,6 @@
 
 void EntryNode::Private::Tick() {
   this->TickMembership();
-  this->targets.SetWantedSlots(this->live.WantedSlots());
   this->targets.Tick();
   this->keys.Tick();
   this->live.Tick();
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -24,6 +24,10 @@
 /// Reading from a target pauses while this much waits for the caller.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 constexpr base::Duration kMaxIdle = std::chrono::seconds(30);
+/// Interval at which targets, failure domains and demand are looked at anew; small beside the 2 s
+/// in which a leaving target has to be left alone, and long enough to cost little with thousands of
+/// targets.
+constexpr base::Duration kLoadEvery = std::chrono::milliseconds(50);
 constexpr base::Duration kDefaultLinkDelay = std::chrono::milliseconds(4);
 /// Number of an answer that comes by relay, where attempts at targets are counted from 0.
 constexpr int kRelayAnswer = -1;
@@ -95,6 +99,7 @@
   std::map<std::uint64_t, Relay> relays;
   std::map<std::string, routing::RowIndex, std::less<>> row_numbers;
   std::set<std::string, std::less<>> known_targets;
+  base::TimePoint loaded;
   RequestLog finished;
   std::uint64_t table_version = 0;
   std::uint64_t next_request = 1;
@@ -134,6 +139,7 @@
                 ErrorKind kind, std::string_view message);
   void LoadRows(base::TimePoint now);
   void LoadTargets(base::TimePoint now);
+  void LoadLoans(base::TimePoint now);
   void LoadDomains();
   LiveRequestPtr Find(std::uint64_t number) const;
 };
@@ -494,6 +500,7 @@
 void LiveService::Private::LoadTargets(base::TimePoint now) {
   const state::TargetState& marks = this->node.machine.State().Targets();
   std::set<std::string, std::less<>> present;
+  std::vector<lending::TargetIndex> usable_targets;
   for (const auto& [id, info] : this->node.directory.All()) {
     const auto index = this->holder.Find(id);
     if (!index) continue;
@@ -504,6 +511,11 @@
     const bool usable = serves && !info.leaving && !marks.IsDrained(id) &&
                         !marks.IsLost(id, info.fence.incarnation);
     this->router.SetTarget(now, *index, usable);
+    if (usable) {
+      usable_targets.push_back(*index);
+    } else {
+      this->holder.SetDemand(*index, this->holder.InUse(*index));
+    }
     present.insert(id);
   }
   for (const std::string& gone : this->known_targets) {
@@ -511,6 +523,13 @@
     if (const auto index = this->holder.Find(gone)) this->router.SetTarget(now, *index, false);
   }
   this->known_targets = std::move(present);
+  // A connection for each wanted slot and as many idle ones.
+  const int wanted = this->router.WantedSlots();
+  this->slots.SpreadDemand(usable_targets, wanted, 2 * wanted);
+}
+
+/// Loans that changed since the last call.
+void LiveService::Private::LoadLoans(base::TimePoint now) {
   for (const lending::TargetIndex changed : this->holder.TakeChanged()) {
     this->router.RefreshTarget(now, changed);
   }
@@ -547,8 +566,12 @@
 void LiveService::Tick() {
   const base::TimePoint now = this->d->node.loop.Now();
   this->d->LoadRows(now);
-  this->d->LoadTargets(now);
-  this->d->LoadDomains();
+  if (now - this->d->loaded >= kLoadEvery) {
+    this->d->loaded = now;
+    this->d->LoadTargets(now);
+    this->d->LoadDomains();
+  }
+  this->d->LoadLoans(now);
   this->d->router.Tick(now);
   this->d->Act();
   // An answer that doesn't come by the deadline has an unknown outcome.
@@ -654,8 +677,6 @@
   }
 }
 
-int LiveService::WantedSlots() const { return this->d->router.WantedSlots(); }
-
 std::size_t LiveService::Waiting() const { return this->d->router.Waiting(); }
 
 std::size_t LiveService::InProgress() const { return this->d->requests.size(); }
--- a/src/libs/entry/live_service.h
+++ b/src/libs/entry/live_service.h
@@ -30,8 +30,6 @@
   /// The link to an entry VM ended: answers to what was relayed there can't arrive any more.
   void OnPeerLost(const std::string& peer);
 
-  /// Slots wanted of all targets together, including those in use.
-  [[nodiscard]] int WantedSlots() const;
   [[nodiscard]] std::size_t Waiting() const;
   [[nodiscard]] std::size_t InProgress() const;
   [[nodiscard]] std::vector<std::string> RowsInUse() const;
--- a/src/libs/entry/target_service.cc
+++ b/src/libs/entry/target_service.cc
@@ -41,7 +41,6 @@
   lending::Owner owner;
   lending::Holder holder;
   std::vector<Leaving> leaving;
-  int wanted_slots = 1;
   base::TimePoint shared;
 
   explicit Private(NodeContext& context)
@@ -52,7 +51,6 @@
   void OnAnnounce(const net::HttpExchangePtr& exchange, const std::string& target);
   void OnLeave(const net::HttpExchangePtr& exchange, const std::string& target);
   void Learn(TargetInfo info);
-  lending::Amount DemandOf(const TargetInfo& info, lending::TargetIndex index) const;
   void Borrow(base::TimePoint now);
   void Share(base::TimePoint now);
   void AnswerLeaving(base::TimePoint now);
@@ -65,28 +63,13 @@
   this->node.send(NameOfIdentity(identity), kind, std::move(payload));
 }
 
-/// Slots for the requests that are expected, with a connection for each and as many idle ones.
-lending::Amount TargetService::Private::DemandOf(const TargetInfo& info,
-                                                 lending::TargetIndex index) const {
-  const lending::Amount in_use = this->holder.InUse(index);
-  if (info.leaving || this->node.machine.State().Targets().IsDrained(info.id)) return in_use;
-  // An even share of the demand and one more, so that a burst finds a free slot before the next
-  // renewal.
-  const auto targets =
-      static_cast<int>(std::max<std::size_t>(1, this->node.directory.All().size()));
-  const int share = (this->wanted_slots + targets - 1) / targets + 1;
-  const lending::Amount wanted{share, 2 * share};
-  return lending::Min(info.capacity, lending::Max(in_use, wanted));
-}
-
 /// Takes a record of a target and lets the holder borrow from its owner.
 void TargetService::Private::Learn(TargetInfo info) {
   const std::string id = info.id;
   if (!this->node.directory.Update(std::move(info))) return;
   const TargetInfo& known = *this->node.directory.Find(id);
   if (known.owner_identity.empty()) return;
-  const auto index = this->holder.SetOwner(id, known.owner_identity, known.fence);
-  this->holder.SetDemand(index, this->DemandOf(known, index));
+  this->holder.SetOwner(id, known.owner_identity, known.fence);
 }
 
 void TargetService::Private::OnAnnounce(const net::HttpExchangePtr& exchange,
@@ -287,16 +270,6 @@
   }
 }
 
-void TargetService::SetWantedSlots(int slots) {
-  if (slots == this->d->wanted_slots) return;
-  this->d->wanted_slots = slots;
-  for (const auto& [id, info] : this->d->node.directory.All()) {
-    if (const auto index = this->d->holder.Find(id)) {
-      this->d->holder.SetDemand(*index, this->d->DemandOf(info, *index));
-    }
-  }
-}
-
 lending::Holder& TargetService::Holder() { return this->d->holder; }
 const lending::Owner& TargetService::Owner() const { return this->d->owner; }
 
--- a/src/libs/entry/target_service.h
+++ b/src/libs/entry/target_service.h
@@ -24,8 +24,6 @@
 
   void AddRoutes(HttpRouter& router);
   void Tick();
-  /// Slots wanted of all targets of the failure domain together, including those in use.
-  void SetWantedSlots(int slots);
   /// Messages between owners and holders, and records of targets.
   void OnBorrow(std::string_view peer, std::string_view payload);
   void OnLend(std::string_view payload);
