--- a/bench/capacity/job_slopes.cc
+++ b/bench/capacity/job_slopes.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "entry/job_json.h"
 #include "jobs/job_book.h"
 #include "jobs/jobs_codec.h"
 #include "jobs/lease_keeper.h"
@@ -138,6 +139,16 @@
   return static_cast<double>(jobs::EncodeTargetReport(report).size());
 }
 
+/// The JSON reply that renews the leases of `size` tasks.
+double ReplyBytes(double size) {
+  jobs::ReportReply reply{.incarnation = 1'796'364'193'760, .sequence = 123'456};
+  for (int i = 0; i < static_cast<int>(size); ++i) {
+    reply.renewals.push_back(
+        {1'000'000U + static_cast<jobs::JobId>(i), 9'000'000, std::chrono::seconds(30)});
+  }
+  return static_cast<double>(entry::ReportReplyJson(reply).size());
+}
+
 }  // namespace
 
 std::vector<SlopeSpec> JobSlopes() {
@@ -162,6 +173,14 @@
        kTasksPerTarget,
        "one report a target",
        ReportBytes},
+      {"target",
+       "size of the JSON reply that renews leases",
+       "bytes",
+       "tasks on the target",
+       {1, 5, 14, 30},
+       kTasksPerTarget,
+       "one reply for all leases",
+       ReplyBytes},
   };
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -16,4 +16,8 @@
   cmake --build --preset release --target "bench_$name" >/dev/null
   echo "== $name"
   "build/release/bench/$name/bench_$name" --json "build/bench/$name.json"
+  if [ "$name" = capacity ]; then
+    cmake --build --preset release --target mangoroadd standin_target >/dev/null
+    bench/capacity/entry_slope.sh | tee build/bench/entry_slope.md
+  fi
 done
