Decode without throwing

Cause: five codecs threw exceptions of their own to leave nested readers, against the rule that errors are results. Change: readers return whether, or why not, a structure is valid; only msgpack's own exceptions are caught at the same places as before.

--- a/src/libs/consensus/consensus_codec.cc
+++ b/src/libs/consensus/consensus_codec.cc
@@ -46,13 +46,11 @@
 auto FieldsOf(Same<Configuration> auto& c) { return std::tie(c.voters, c.learners); }
 
 template <std::size_t kIndex>
-MessageBody ReadBody(const msgpack::object& object) {
-  std::variant_alternative_t<kIndex, MessageBody> body;
-  UnpackFields(object, FieldsOf(body));
-  return body;
+bool ReadBody(const msgpack::object& object, MessageBody& body) {
+  return UnpackFields(object, FieldsOf(body.emplace<kIndex>()));
 }
 
-using BodyReader = MessageBody (*)(const msgpack::object&);
+using BodyReader = bool (*)(const msgpack::object&, MessageBody&);
 
 /// Readers in the order of the alternatives of MessageBody; the position is the type number.
 template <std::size_t... kIndexes>
@@ -63,18 +61,17 @@
 
 constexpr std::uint32_t kEnvelopeFields = 6;
 
-void ReadEnvelope(const msgpack::object& object, Message& message) {
+bool ReadEnvelope(const msgpack::object& object, Message& message) {
   if (object.type != msgpack::type::ARRAY || object.via.array.size != kEnvelopeFields) {
-    throw msgpack::type_error();
+    return false;
   }
   const msgpack::object* fields = object.via.array.ptr;
-  if (fields[0].as<std::uint32_t>() != kMessageFormatVersion) throw msgpack::type_error();
+  if (fields[0].as<std::uint32_t>() != kMessageFormatVersion) return false;
   message.term = fields[1].as<Term>();
   message.from = fields[2].as<ReplicaId>();
   message.to = fields[3].as<ReplicaId>();
   const auto type = fields[4].as<std::uint32_t>();
-  if (type >= kReaders.size()) throw msgpack::type_error();
-  message.body = kReaders[type](fields[5]);
+  return type < kReaders.size() && kReaders[type](fields[5], message.body);
 }
 
 }  // namespace
@@ -94,8 +91,8 @@
 
 std::optional<Message> DecodeMessage(std::string_view bytes) {
   Message message;
-  const bool whole =
-      UnpackBytes(bytes, [&](const msgpack::object& object) { ReadEnvelope(object, message); });
+  const bool whole = UnpackBytes(
+      bytes, [&](const msgpack::object& object) { return ReadEnvelope(object, message); });
   if (!whole) return std::nullopt;
   return message;
 }
@@ -109,8 +106,9 @@
 
 std::optional<Configuration> DecodeConfiguration(std::string_view bytes) {
   Configuration configuration;
-  const bool whole = UnpackBytes(
-      bytes, [&](const msgpack::object& object) { UnpackFields(object, FieldsOf(configuration)); });
+  const bool whole = UnpackBytes(bytes, [&](const msgpack::object& object) {
+    return UnpackFields(object, FieldsOf(configuration));
+  });
   if (!whole) return std::nullopt;
   return configuration;
 }
--- a/src/libs/jobs/jobs_codec.cc
+++ b/src/libs/jobs/jobs_codec.cc
@@ -7,7 +7,7 @@
 #include <concepts>
 #include <limits>
 #include <msgpack.hpp>
-#include <stdexcept>
+#include <optional>
 #include <tuple>
 #include <type_traits>
 
@@ -141,10 +141,9 @@
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
-// Converted to BookError at the public functions; msgpack reports its own faults the same way.
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+/// Set at the first fault of a structure. msgpack reports a value of another type by an exception;
+/// both become a BookError in Decode.
+using Fault = std::optional<std::string>;
 
 template <typename T>
 constexpr bool kIsVector = false;
@@ -185,34 +184,34 @@
   }
 }
 
-const msgpack::object_array& ArrayOf(const msgpack::object& object, std::uint32_t size) {
-  if (object.type != msgpack::type::ARRAY) throw Malformed("expected an array");
-  if (object.via.array.size != size) {
-    throw Malformed(fmt::format("array of {} instead of {}", object.via.array.size, size));
-  }
-  return object.via.array;
+/// The fault of an object that has to be an array of `size` elements.
+Fault FaultOfArray(const msgpack::object& object, std::uint32_t size) {
+  if (object.type != msgpack::type::ARRAY) return "expected an array";
+  if (object.via.array.size == size) return std::nullopt;
+  return fmt::format("array of {} instead of {}", object.via.array.size, size);
 }
 
 template <typename T>
-void Read(const msgpack::object& object, T& value);
+Fault Read(const msgpack::object& object, T& value);
 
 template <typename Variant, std::size_t... kIndices>
-void ReadVariant(const msgpack::object& object, Variant& value,
-                 std::index_sequence<kIndices...> /*indices*/) {
-  const auto& array = ArrayOf(object, 2);
-  const auto index = array.ptr[0].as<std::uint32_t>();
-  const bool known =
-      ((index == kIndices && (Read(array.ptr[1], value.template emplace<kIndices>()), true)) ||
-       ...);
-  if (!known) throw Malformed(fmt::format("unknown kind {}", index));
+Fault ReadVariant(const msgpack::object& object, Variant& value,
+                  std::index_sequence<kIndices...> /*indices*/) {
+  if (Fault fault = FaultOfArray(object, 2)) return fault;
+  const msgpack::object* elements = object.via.array.ptr;
+  const auto index = elements[0].as<std::uint32_t>();
+  Fault fault = fmt::format("unknown kind {}", index);
+  ((index == kIndices && (fault = Read(elements[1], value.template emplace<kIndices>()), true)) ||
+   ...);
+  return fault;
 }
 
 template <typename T>
-void Read(const msgpack::object& object, T& value) {
+Fault Read(const msgpack::object& object, T& value) {
   if constexpr (std::is_enum_v<T>) {
     const auto number = object.as<std::uint32_t>();
     if (number > static_cast<std::uint32_t>(kLast<T>)) {
-      throw Malformed(fmt::format("unknown enumerator {}", number));
+      return fmt::format("unknown enumerator {}", number);
     }
     value = static_cast<T>(number);
   } else if constexpr (std::is_arithmetic_v<T> || std::same_as<T, std::string>) {
@@ -220,21 +219,26 @@
   } else if constexpr (std::same_as<T, base::Duration>) {
     value = base::Duration(object.as<base::Duration::rep>());
   } else if constexpr (kIsVector<T>) {
-    if (object.type != msgpack::type::ARRAY) throw Malformed("expected an array");
+    if (object.type != msgpack::type::ARRAY) return "expected an array";
     value.resize(object.via.array.size);
-    for (std::size_t i = 0; i < value.size(); ++i) Read(object.via.array.ptr[i], value[i]);
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      if (Fault fault = Read(object.via.array.ptr[i], value[i])) return fault;
+    }
   } else if constexpr (kIsPair<T>) {
-    const auto& array = ArrayOf(object, 2);
-    Read(array.ptr[0], value.first);
-    Read(array.ptr[1], value.second);
+    if (Fault fault = FaultOfArray(object, 2)) return fault;
+    if (Fault fault = Read(object.via.array.ptr[0], value.first)) return fault;
+    return Read(object.via.array.ptr[1], value.second);
   } else if constexpr (kIsVariant<T>) {
-    ReadVariant(object, value, std::make_index_sequence<std::variant_size_v<T>>());
+    return ReadVariant(object, value, std::make_index_sequence<std::variant_size_v<T>>());
   } else {
     auto fields = Fields(value);
-    const auto& array = ArrayOf(object, std::tuple_size_v<decltype(fields)>);
-    const msgpack::object* element = array.ptr;
-    std::apply([&](auto&... field) { (Read(*element++, field), ...); }, fields);
+    if (Fault fault = FaultOfArray(object, std::tuple_size_v<decltype(fields)>)) return fault;
+    const msgpack::object* element = object.via.array.ptr;
+    Fault fault;
+    std::apply([&](auto&... field) { ((fault = Read(*element++, field)) || ...); }, fields);
+    return fault;
   }
+  return std::nullopt;
 }
 
 template <typename T>
@@ -249,24 +253,28 @@
 
 template <typename T>
 base::Result<T, BookError> Decode(std::string_view bytes, std::string_view what) {
+  const auto malformed = [&](std::string_view fault) {
+    return BookError{BookErrorKind::kMalformed,
+                     fmt::format("{} of {} bytes: {}", what, bytes.size(), fault)};
+  };
   try {
     std::size_t offset = 0;
     const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
     if (offset != bytes.size()) {
-      throw Malformed(fmt::format("{} bytes after the end", bytes.size() - offset));
+      return malformed(fmt::format("{} bytes after the end", bytes.size() - offset));
     }
-    const auto& array = ArrayOf(handle.get(), 2);
-    const auto version = array.ptr[0].as<std::uint32_t>();
+    if (const Fault fault = FaultOfArray(handle.get(), 2)) return malformed(*fault);
+    const msgpack::object* elements = handle.get().via.array.ptr;
+    const auto version = elements[0].as<std::uint32_t>();
     if (version != kVersion) {
       return BookError{BookErrorKind::kUnknownVersion,
                        fmt::format("{}: format version {} instead of {}", what, version, kVersion)};
     }
     T value;
-    Read(array.ptr[1], value);
+    if (const Fault fault = Read(elements[1], value)) return malformed(*fault);
     return value;
   } catch (const std::exception& fault) {
-    return BookError{BookErrorKind::kMalformed,
-                     fmt::format("{} of {} bytes: {}", what, bytes.size(), fault.what())};
+    return malformed(fault.what());
   }
 }
 
--- a/src/libs/lending/lending_codec.cc
+++ b/src/libs/lending/lending_codec.cc
@@ -1,6 +1,8 @@
 #include "lending/lending_codec.h"
 
+#include <algorithm>
 #include <msgpack.hpp>
+#include <span>
 
 namespace mangoroad::lending {
 namespace {
@@ -52,18 +54,19 @@
   return {buffer.data(), buffer.size()};
 }
 
-// Reads the elements of one array in order. msgpack reports a wrong type or a missing element by
-// an exception, which DecodeAs turns into an error.
+// Reads the elements of one array in order. An array of another size makes IsValid false, and all
+// elements empty; msgpack reports a wrong type by an exception, which DecodeAs turns into an error.
 class Reader {
  public:
-  Reader(const msgpack::object& object, std::uint32_t size) : array(object) {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != size) {
-      throw msgpack::type_error();
-    }
-  }
+  Reader(const msgpack::object& object, std::uint32_t size)
+      : array(object),
+        valid(object.type == msgpack::type::ARRAY && object.via.array.size == size) {}
+
+  [[nodiscard]] bool IsValid() const { return this->valid; }
 
   template <typename Value>
   Value Next() {
+    if (!this->valid) return {};
     return this->array.via.array.ptr[this->position++].as<Value>();
   }
   Amount NextAmount() {
@@ -74,35 +77,43 @@
     const auto incarnation = this->Next<std::uint64_t>();
     return {incarnation, this->Next<std::uint64_t>()};
   }
-  const msgpack::object& NextArray() {
+  /// The elements of an array; empty, and IsValid false, when the element is no array.
+  std::span<const msgpack::object> NextArray() {
+    if (!this->valid) return {};
     const msgpack::object& element = this->array.via.array.ptr[this->position++];
-    if (element.type != msgpack::type::ARRAY) throw msgpack::type_error();
-    return element;
+    this->valid = element.type == msgpack::type::ARRAY;
+    if (!this->valid) return {};
+    return {element.via.array.ptr, element.via.array.size};
   }
 
  private:
   const msgpack::object& array;
   std::uint32_t position = 0;
+  bool valid;
 };
 
-void ReadItem(const msgpack::object& object, BorrowItem& item) {
+bool ReadItem(const msgpack::object& object, BorrowItem& item) {
   Reader reader(object, 8);
   item.target = reader.Next<std::string>();
   item.fence = reader.NextFence();
   item.adopted = reader.Next<std::uint64_t>();
   item.wanted = reader.NextAmount();
   item.held = reader.NextAmount();
+  return reader.IsValid();
 }
 
-void ReadItem(const msgpack::object& object, LendItem& item) {
+bool ReadItem(const msgpack::object& object, LendItem& item) {
   Reader reader(object, 7);
   item.target = reader.Next<std::string>();
   item.fence = reader.NextFence();
   item.loan = reader.Next<std::uint64_t>();
   item.amount = reader.NextAmount();
   item.length = base::Duration(reader.Next<base::Duration::rep>());
+  return reader.IsValid();
 }
 
+const CodecError kNotOneArray{CodecErrorKind::kMalformed, "an array has another size or type"};
+
 template <typename Message>
 base::Result<Message, CodecError> DecodeAs(std::string_view bytes, std::string Message::* owner,
                                            std::string Message::* holder,
@@ -116,6 +127,7 @@
     }
     Reader reader(handle.get(), 5);
     const int version = reader.Next<int>();
+    if (!reader.IsValid()) return kNotOneArray;
     if (version != kFormatVersion) {
       return CodecError{CodecErrorKind::kUnknownVersion,
                         "format version " + std::to_string(version)};
@@ -124,11 +136,12 @@
     message.*owner = reader.Next<std::string>();
     message.*holder = reader.Next<std::string>();
     message.*number = reader.Next<std::uint64_t>();
-    const msgpack::object& items = reader.NextArray();
-    message.items.resize(items.via.array.size);
-    for (std::uint32_t i = 0; i < items.via.array.size; ++i) {
-      ReadItem(items.via.array.ptr[i], message.items[i]);
-    }
+    const auto items = reader.NextArray();
+    message.items.resize(items.size());
+    const bool whole = std::ranges::equal(
+        items, message.items,
+        [](const msgpack::object& object, auto& item) { return ReadItem(object, item); });
+    if (!whole || !reader.IsValid()) return kNotOneArray;
     return message;
   } catch (const std::exception& failure) {
     return CodecError{CodecErrorKind::kMalformed, failure.what()};
--- a/src/libs/placement/fleet.h
+++ b/src/libs/placement/fleet.h
@@ -43,7 +43,7 @@
   DomainNumber domain = 0;
   /// False for a target that hasn't announced itself to this leader; it holds adopted tasks only.
   bool known = false;
-  /// Excluded for now by the failure tracker.
+  /// Excluded by the failure tracker at present.
   bool suspended = false;
   /// Job for which the target is being cleared; 0 for none.
   JobId held_for = 0;
--- a/src/libs/registry/registry_codec.cc
+++ b/src/libs/registry/registry_codec.cc
@@ -60,11 +60,12 @@
   return std::make_tuple(m.view, m.key, Pack(m.id), static_cast<std::uint8_t>(m.verdict),
                          PackAll(AsList(m.existing)));
 }
+bool IsValid(const decltype(Fields(ClaimedMessage{}))& fields) {
+  const auto& [view, key, id, verdict, existing] = fields;
+  return verdict <= static_cast<std::uint8_t>(ClaimVerdict::kTaken) && existing.size() <= 1;
+}
 void SetFields(const decltype(Fields(ClaimedMessage{}))& fields, ClaimedMessage& m) {
   const auto& [view, key, id, verdict, existing] = fields;
-  if (verdict > static_cast<std::uint8_t>(ClaimVerdict::kTaken) || existing.size() > 1) {
-    throw msgpack::type_error();
-  }
   m = {view, key, Unpack(id), static_cast<ClaimVerdict>(verdict), std::nullopt};
   if (!existing.empty()) m.existing = Unpack(existing.front());
 }
@@ -93,20 +94,29 @@
   m = {view, after, from_start, last, complete_to, base::Duration(in_doubt), UnpackAll(claims)};
 }
 
+/// Messages whose fields can't be out of range.
+template <typename Packed>
+bool IsValid(const Packed& /*fields*/) {
+  return true;
+}
+
+/// Nothing for another structure or a field out of range.
 template <std::size_t kKind = 0>
-Message ReadKind(std::size_t kind, const msgpack::object& object) {
+std::optional<Message> ReadKind(std::size_t kind, const msgpack::object& object) {
   if constexpr (kKind < std::variant_size_v<Message>) {
     if (kind != kKind) return ReadKind<kKind + 1>(kind, object);
     std::variant_alternative_t<kKind, Message> message;
     using Packed = decltype(Fields(message));
     // The tuple conversion accepts arrays of another length and leaves fields unset.
     if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<Packed>) {
-      throw msgpack::type_error();
+      return std::nullopt;
     }
-    SetFields(object.as<Packed>(), message);
+    const auto fields = object.as<Packed>();
+    if (!IsValid(fields)) return std::nullopt;
+    SetFields(fields, message);
     return message;
   } else {
-    throw msgpack::type_error();
+    return std::nullopt;
   }
 }
 
@@ -141,7 +151,10 @@
     if (kind >= std::variant_size_v<Message>) {
       return CodecError{CodecErrorKind::kUnknownMessage, "message kind " + std::to_string(kind)};
     }
-    return ReadKind(kind, elements[2]);
+    auto message = ReadKind(kind, elements[2]);
+    if (message) return std::move(*message);
+    return CodecError{CodecErrorKind::kMalformed,
+                      "fields of message kind " + std::to_string(kind) + " are out of range"};
   } catch (const std::exception& failure) {
     return CodecError{CodecErrorKind::kMalformed, failure.what()};
   }
--- a/src/libs/storage/msgpack_fields.h
+++ b/src/libs/storage/msgpack_fields.h
@@ -43,46 +43,49 @@
   for (const LogEntry& entry : entries) PackFields(packer, EntryFields(entry));
 }
 
-/// Throws msgpack::type_error, which UnpackBytes turns into false.
+/// False for a value out of range. A value of another type makes msgpack throw, which UnpackBytes
+/// turns into false.
 template <typename Value>
-void UnpackValue(const msgpack::object& object, Value& value) {
+bool UnpackValue(const msgpack::object& object, Value& value) {
   object.convert(value);
+  return true;
 }
-inline void UnpackValue(const msgpack::object& object, EntryKind& value) {
+inline bool UnpackValue(const msgpack::object& object, EntryKind& value) {
   const auto number = object.as<std::uint8_t>();
-  if (number > static_cast<std::uint8_t>(EntryKind::kNoop)) throw msgpack::type_error();
+  if (number > static_cast<std::uint8_t>(EntryKind::kNoop)) return false;
   value = static_cast<EntryKind>(number);
+  return true;
 }
 
-void UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries);
+bool UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries);
 
 template <typename Fields>
-void UnpackFields(const msgpack::object& object, Fields fields) {
+bool UnpackFields(const msgpack::object& object, Fields fields) {
   if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<Fields>) {
-    throw msgpack::type_error();
+    return false;
   }
-  const msgpack::object* next = object.via.array.ptr;
-  std::apply([&](auto&... field) { (UnpackValue(*next++, field), ...); }, fields);
+  [[maybe_unused]] const msgpack::object* next = object.via.array.ptr;
+  return std::apply([&](auto&... field) { return (UnpackValue(*next++, field) && ...); }, fields);
 }
 
-inline void UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries) {
-  if (object.type != msgpack::type::ARRAY) throw msgpack::type_error();
+inline bool UnpackValue(const msgpack::object& object, std::vector<LogEntry>& entries) {
+  if (object.type != msgpack::type::ARRAY) return false;
   entries.resize(object.via.array.size);
   for (std::uint32_t i = 0; i < object.via.array.size; ++i) {
-    UnpackFields(object.via.array.ptr[i], EntryFields(entries[i]));
+    if (!UnpackFields(object.via.array.ptr[i], EntryFields(entries[i]))) return false;
   }
+  return true;
 }
 
-/// Calls `read` with the object in `bytes`; false when the bytes are no msgpack object or `read`
-/// throws a msgpack error.
+/// Calls `read` with the object in `bytes`; false when the bytes are no msgpack object, `read` says
+/// so, or a value has another type, which msgpack reports by an exception that ends here.
 template <typename Reader>
 bool UnpackBytes(std::string_view bytes, const Reader& read) {
   try {
     std::size_t offset = 0;
     const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
     if (offset != bytes.size()) return false;
-    read(handle.get());
-    return true;
+    return read(handle.get());
   } catch (const msgpack::type_error&) {
     return false;
   } catch (const msgpack::unpack_error&) {
--- a/src/libs/storage/parked_jobs.cc
+++ b/src/libs/storage/parked_jobs.cc
@@ -33,7 +33,7 @@
   std::string key;
   std::string record;
   const bool whole = internal::UnpackBytes(payload, [&](const msgpack::object& object) {
-    internal::UnpackFields(object, std::tie(add, key, record));
+    return internal::UnpackFields(object, std::tie(add, key, record));
   });
   if (!whole) return false;
   if (add) {
--- a/src/libs/storage/wal_codec.cc
+++ b/src/libs/storage/wal_codec.cc
@@ -27,31 +27,34 @@
   return {buffer.data(), buffer.size()};
 }
 
-/// Type and fields of a payload; throws msgpack::type_error on another structure.
-RecordType TypeOf(const msgpack::object& object) {
-  if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
-    throw msgpack::type_error();
-  }
+/// Type of a payload, or nothing when it has another structure.
+std::optional<RecordType> TypeOf(const msgpack::object& object) {
+  if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) return std::nullopt;
   return static_cast<RecordType>(object.via.array.ptr[0].as<std::uint8_t>());
 }
 
-WalRecord ReadRecord(const msgpack::object& object) {
-  const RecordType type = TypeOf(object);
+bool ReadRecord(const msgpack::object& object, std::optional<WalRecord>& record) {
+  const std::optional<RecordType> type = TypeOf(object);
+  if (!type) return false;
   const msgpack::object& fields = object.via.array.ptr[1];
   if (type == RecordType::kEntry) {
     LogEntry entry;
-    UnpackFields(fields, EntryFields(entry));
-    return entry;
+    if (!UnpackFields(fields, EntryFields(entry))) return false;
+    record = std::move(entry);
+    return true;
   }
   if (type == RecordType::kHardState) {
     HardState state;
-    UnpackFields(fields, HardStateFields(state));
-    return state;
+    if (!UnpackFields(fields, HardStateFields(state))) return false;
+    record = std::move(state);
+    return true;
   }
-  if (type != RecordType::kTruncate) throw msgpack::type_error();
-  TruncateRecord record;
-  UnpackFields(fields, std::tie(record.last_kept));
-  return record;
+  TruncateRecord truncate;
+  if (type != RecordType::kTruncate || !UnpackFields(fields, std::tie(truncate.last_kept))) {
+    return false;
+  }
+  record = truncate;
+  return true;
 }
 
 }  // namespace
@@ -74,15 +77,15 @@
 
 std::optional<WalRecord> DecodeWalRecord(std::string_view payload) {
   std::optional<WalRecord> record;
-  UnpackBytes(payload, [&](const msgpack::object& object) { record = ReadRecord(object); });
+  UnpackBytes(payload, [&](const msgpack::object& object) { return ReadRecord(object, record); });
   return record;
 }
 
 std::optional<Snapshot> DecodeSnapshot(std::string_view payload) {
   Snapshot snapshot;
   const bool whole = UnpackBytes(payload, [&](const msgpack::object& object) {
-    if (TypeOf(object) != RecordType::kSnapshot) throw msgpack::type_error();
-    UnpackFields(object.via.array.ptr[1], SnapshotFields(snapshot));
+    return TypeOf(object) == RecordType::kSnapshot &&
+           UnpackFields(object.via.array.ptr[1], SnapshotFields(snapshot));
   });
   if (!whole) return std::nullopt;
   return snapshot;
