--- a/bench/capacity/live_slopes.cc
+++ b/bench/capacity/live_slopes.cc
@@ -153,6 +153,7 @@
 
 double RecordBytes(double size) {
   std::vector<entry::TargetInfo> targets;
+  targets.reserve(static_cast<std::size_t>(size));
   for (int i = 0; i < static_cast<int>(size); ++i) targets.push_back(InfoOf(i));
   return static_cast<double>(entry::EncodeTargets(targets).size()) / 1e3;
 }
@@ -165,7 +166,7 @@
   routing::Router router({.domain = "kochi"}, slots);
   router.SetRows({{.name = "push", .retries = 1}});
   for (int i = 0; i < static_cast<int>(size); ++i) {
-    router.SetTarget(kStart, *fleet.holder.Find(TargetOf(i)), true);
+    if (const auto index = fleet.holder.Find(TargetOf(i))) router.SetTarget(kStart, *index, true);
   }
   return static_cast<double>(HeapBytes() - before) / 1e6;
 }
@@ -178,7 +179,7 @@
   routing::Router router({.domain = "kochi"}, slots);
   router.SetRows({{.name = "push", .retries = 1}});
   for (int i = 0; i < static_cast<int>(size); ++i) {
-    router.SetTarget(kStart, *fleet.holder.Find(TargetOf(i)), true);
+    if (const auto index = fleet.holder.Find(TargetOf(i))) router.SetTarget(kStart, *index, true);
   }
   std::uint64_t next = 1;
   return MicrosecondsOf([&] {
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -22,7 +22,7 @@
 namespace {
 
 /// Reading from a target pauses while this much waits for the caller.
-constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+constexpr std::size_t kMaxUnsentBytes = 256UL * 1024;
 constexpr base::Duration kMaxIdle = std::chrono::seconds(30);
 /// Interval at which targets, failure domains and demand are looked at anew; small beside the 2 s
 /// in which a leaving target has to be left alone, and long enough to cost little with thousands of
@@ -344,18 +344,18 @@
 void LiveService::Private::StartAnswer(const LiveRequestPtr& request, int from, int status,
                                        const net::HttpHeaders& headers) {
   request->answering = from;
-  if (request->recorded) {
-    request->recorded->status = status;
-    std::ranges::copy_if(headers.Fields(), std::back_inserter(request->recorded->headers),
+  if (std::optional<registry::Answer>& recorded = request->recorded; recorded) {
+    recorded->status = status;
+    std::ranges::copy_if(headers.Fields(), std::back_inserter(recorded->headers),
                          [](const auto& field) { return !net::IsHopByHopHeader(field.first); });
   }
   request->responder->Start(status, headers);
 }
 
 void LiveService::Private::AddBody(const LiveRequestPtr& request, std::string_view bytes) {
-  if (request->recorded) {
-    request->recorded->body += bytes;
-    if (request->recorded->body.size() > registry::kLargestAnswer) request->recorded.reset();
+  if (std::optional<registry::Answer>& recorded = request->recorded; recorded) {
+    recorded->body += bytes;
+    if (recorded->body.size() > registry::kLargestAnswer) recorded.reset();
   }
   request->responder->Body(bytes);
 }
@@ -405,8 +405,9 @@
     return;
   }
   if (!request->truncated) request->responder->End();
-  if (request->claimed && request->recorded) {
-    this->keys.Finish(request->row.row + "/" + request->key, *request->recorded);
+  const std::optional<registry::Answer>& recorded = request->recorded;
+  if (request->claimed && recorded) {
+    this->keys.Finish(request->row.row + "/" + request->key, *recorded);
   }
   this->finished.End(*request, request->truncated ? Outcome::kUnknown : Outcome::kRan,
                      request->truncated ? "the answer was cut off" : "answered");
