--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -212,8 +212,9 @@
 base::Result<base::Done, EntryError> LogService::Open(LogOptions options) {
   this->d->options = std::move(options);
   consensus::RestoredState restored;
-  if (this->d->options.folder) {
-    auto opened = storage::Wal::Open(this->d->files, *this->d->options.folder);
+  const std::optional<std::string>& folder = this->d->options.folder;
+  if (folder) {
+    auto opened = storage::Wal::Open(this->d->files, *folder);
     if (!base::Ok(opened)) {
       return EntryError{EntryErrorKind::kBadData, base::ErrorOf(opened).message};
     }
@@ -227,7 +228,7 @@
   if (restored.snapshot) {
     if (!this->d->state.Restore(restored.snapshot->data)) {
       return EntryError{EntryErrorKind::kBadData,
-                        "the snapshot in " + *this->d->options.folder + " can't be read"};
+                        "the snapshot in " + folder.value_or("") + " can't be read"};
     }
     this->d->applied = restored.snapshot->index;
     this->d->applied_term = restored.snapshot->term;
