--- a/src/libs/jobs/jobs_codec.cc
+++ b/src/libs/jobs/jobs_codec.cc
@@ -201,8 +201,9 @@
   const msgpack::object* elements = object.via.array.ptr;
   const auto index = elements[0].as<std::uint32_t>();
   Fault fault = fmt::format("unknown kind {}", index);
-  ((index == kIndices && (fault = Read(elements[1], value.template emplace<kIndices>()), true)) ||
-   ...);
+  static_cast<void>(((index == kIndices &&
+                      (fault = Read(elements[1], value.template emplace<kIndices>()), true)) ||
+                     ...));
   return fault;
 }
 
