--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -3,13 +3,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "entry/answers.h"
+#include "entry/live_outcome.h"
 #include "entry/live_request.h"
 #include "entry/request_log.h"
 #include "entry/responder.h"
@@ -32,54 +32,6 @@
 /// Number of an answer that comes by relay, where attempts at targets are counted from 0.
 constexpr int kRelayAnswer = -1;
 
-constexpr std::array<std::pair<routing::RefusalKind, ErrorKind>, 7> kRefusals{{
-    {routing::RefusalKind::kUnknownRow, ErrorKind::kUnknownRow},
-    {routing::RefusalKind::kOverLimit, ErrorKind::kOverLimit},
-    {routing::RefusalKind::kOverloaded, ErrorKind::kOverloaded},
-    {routing::RefusalKind::kNoTarget, ErrorKind::kNoTarget},
-    {routing::RefusalKind::kDraining, ErrorKind::kDraining},
-    {routing::RefusalKind::kDeadline, ErrorKind::kDeadline},
-    {routing::RefusalKind::kTargetFailed, ErrorKind::kTargetFailed},
-}};
-
-ErrorKind ToErrorKind(routing::RefusalKind kind) {
-  const auto entry =
-      std::ranges::find(kRefusals, kind, [](const auto& candidate) { return candidate.first; });
-  return entry == kRefusals.end() ? ErrorKind::kOverloaded : entry->second;
-}
-
-Outcome ToOutcome(routing::Outcome outcome) {
-  switch (outcome) {
-    case routing::Outcome::kRan:
-      return Outcome::kRan;
-    case routing::Outcome::kNotRun:
-      return Outcome::kNotRun;
-    case routing::Outcome::kUnknown:
-      break;
-  }
-  return Outcome::kUnknown;
-}
-
-std::string_view MessageOf(routing::RefusalKind kind) {
-  switch (kind) {
-    case routing::RefusalKind::kOverLimit:
-      return "the row is over its limit";
-    case routing::RefusalKind::kOverloaded:
-      return "the request can't be run before its deadline";
-    case routing::RefusalKind::kNoTarget:
-      return "no target can take the request";
-    case routing::RefusalKind::kDraining:
-      return "this entry VM is being stopped";
-    case routing::RefusalKind::kDeadline:
-      return "the deadline has passed";
-    case routing::RefusalKind::kTargetFailed:
-      return "the target failed";
-    case routing::RefusalKind::kUnknownRow:
-      break;
-  }
-  return "the row isn't in the table";
-}
-
 }  // namespace
 
 struct LiveService::Private {
@@ -470,10 +422,7 @@
     }
     return;
   }
-  const auto router_outcome = outcome == Outcome::kRan      ? routing::Outcome::kRan
-                              : outcome == Outcome::kNotRun ? routing::Outcome::kNotRun
-                                                            : routing::Outcome::kUnknown;
-  this->router.OnRelayEnd(this->node.loop.Now(), request->number, router_outcome);
+  this->router.OnRelayEnd(this->node.loop.Now(), request->number, ToRoutingOutcome(outcome));
   this->Act();
 }
 
