--- a/src/libs/net/http_message.cc
+++ b/src/libs/net/http_message.cc
@@ -40,15 +40,16 @@
 }
 
 bool IsHopByHopHeader(std::string_view name) {
-  static constexpr std::array<std::string_view, 9> kNames{"Connection",
-                                                          "Keep-Alive",
-                                                          "Proxy-Authenticate",
-                                                          "Proxy-Authorization",
-                                                          "TE",
-                                                          "Trailer",
-                                                          "Upgrade",
-                                                          "Transfer-Encoding",
-                                                          "Host"};
+  static constexpr std::array<std::string_view, 10> kNames{"Connection",
+                                                           "Keep-Alive",
+                                                           "Proxy-Authenticate",
+                                                           "Proxy-Authorization",
+                                                           "TE",
+                                                           "Expect",
+                                                           "Trailer",
+                                                           "Upgrade",
+                                                           "Transfer-Encoding",
+                                                           "Host"};
   return std::ranges::any_of(kNames,
                              [&](std::string_view known) { return EqualNames(known, name); });
 }
