Export latency quantiles

Cause: /metrics had the buckets of the latency histograms, but no quantiles. Change: each histogram is followed by gauges <name>_quantile with 0.5, 0.99 and 0.999. Conclusion: dashboards need no query over buckets for the usual figures.

--- a/src/libs/metrics/metrics.cc
+++ b/src/libs/metrics/metrics.cc
@@ -96,6 +96,17 @@
   fmt::format_to(out, "{}_count{} {}\n", name, Braced(labels), histogram.Count());
 }
 
+void AppendQuantiles(std::string& text, std::string_view name, std::string_view labels,
+                     const Histogram& histogram) {
+  static constexpr std::array<double, 3> kQuantiles{0.5, 0.99, 0.999};
+  const std::string_view comma = labels.empty() ? "" : ",";
+  for (const double quantile : kQuantiles) {
+    const auto seconds = std::chrono::duration<double>(histogram.Quantile(quantile)).count();
+    fmt::format_to(std::back_inserter(text), "{}{{{}{}quantile=\"{}\"}} {:.6g}\n", name, labels,
+                   comma, quantile, seconds);
+  }
+}
+
 struct Family {
   std::size_t type = 0;
   std::string help;
@@ -180,6 +191,15 @@
     for (const auto& [labels, series] : family.series) {
       std::visit([&](const auto& metric) { AppendSeries(text, name, labels, metric); }, series);
     }
+    const bool is_histogram =
+        !family.series.empty() && std::holds_alternative<Histogram>(family.series.begin()->second);
+    if (!is_histogram) continue;
+    // A family of its own, since the format allows no quantiles in a histogram.
+    const std::string quantile_name = name + "_quantile";
+    append_head(quantile_name, "Quantiles of " + name + " since the start", "gauge");
+    for (const auto& [labels, series] : family.series) {
+      AppendQuantiles(text, quantile_name, labels, std::get<Histogram>(series));
+    }
   }
   append_head(kRefusedSeries, "Lookups of series that the bound on series refused.", "counter");
   AppendSeries(text, kRefusedSeries, "", this->d->refused);
--- a/src/libs/metrics/metrics.h
+++ b/src/libs/metrics/metrics.h
@@ -90,7 +90,8 @@
   Gauge& GetGauge(std::string_view name, std::string_view help, const Labels& labels = {});
   Histogram& GetHistogram(std::string_view name, std::string_view help, const Labels& labels = {});
 
-  /// All series in the Prometheus text exposition format 0.0.4; durations are in seconds.
+  /// All series in the Prometheus text exposition format 0.0.4; durations are in seconds. Each
+  /// histogram is followed by gauges `<name>_quantile` with its quantiles 0.5, 0.99 and 0.999.
   [[nodiscard]] std::string PrometheusText() const;
   [[nodiscard]] std::size_t SeriesCount() const;
 
--- a/tests/auto/metrics/tst_metrics.cc
+++ b/tests/auto/metrics/tst_metrics.cc
@@ -71,7 +71,10 @@
         "latency_seconds_bucket{row=\"x\",le=\"0.01\"} 1\n",
         "latency_seconds_bucket{row=\"x\",le=\"0.1\"} 2\n",
         "latency_seconds_bucket{row=\"x\",le=\"+Inf\"} 2\n",
-        "latency_seconds_sum{row=\"x\"} 0.055\n", "latency_seconds_count{row=\"x\"} 2\n"}) {
+        "latency_seconds_sum{row=\"x\"} 0.055\n", "latency_seconds_count{row=\"x\"} 2\n",
+        "# TYPE latency_seconds_quantile gauge\n",
+        "latency_seconds_quantile{row=\"x\",quantile=\"0.5\"} ",
+        "latency_seconds_quantile{row=\"x\",quantile=\"0.999\"} "}) {
     CAPTURE(line);
     CHECK(text.find(line) != std::string::npos);
   }
