Log what the leader's time goes into, once a second

Change: ActivityMeter measures exclusive elapsed times by activity; the leader logs them with the largest delay of its 50 ms timer as "leader load".

--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -8,6 +8,7 @@
 #include "controller/replica_manager.h"
 #include "entry/log_service.h"
 #include "log/log.h"
+#include "metrics/activity_meter.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/peer_link.h"
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr base::Duration kLeadershipCheckInterval = std::chrono::milliseconds(50);
+/// Interval of the log line about the leader's own load.
+constexpr base::Duration kLoadLogInterval = std::chrono::seconds(1);
 constexpr base::Duration kMembershipCheckInterval = std::chrono::milliseconds(300);
 /// How long a planned stop waits for another leader; several election time-outs.
 constexpr base::Duration kLeadershipTransferTimeout = std::chrono::milliseconds(1000);
@@ -61,6 +64,7 @@
   CoreSettings settings;
   std::unique_ptr<storage::FileSystem> files = storage::MakeRealFileSystem();
   WorkloadStateMachine state_machine;
+  metrics::ActivityMeter meter{[this] { return this->loop.Now(); }};
   entry::LogService log_service;
   RunManager run_manager;
   ReplicaManager replica_manager;
@@ -70,6 +74,11 @@
   consensus::Term leading_term = 0;
   std::string logged_leader;
   bool advance_posted = false;
+  /// When the leader timer is due next; its delay is that of all events of the loop.
+  base::TimePoint leader_timer_due;
+  base::Duration max_loop_delay{};
+  base::Duration logged_processor_time{};
+  base::TimePoint next_load_log_at;
   net::PostScope posts{this->loop};
   net::Timer leader_timer;
   net::Timer replica_timer;
@@ -100,6 +109,7 @@
     });
   }
   std::int64_t TimeOfDayMs() override { return this->loop.WallNow(); }
+  metrics::ActivityMeter& Meter() override { return this->meter; }
 
   void ProposeWith(const workload::Command& command, entry::LogService::OnProposal done) {
     this->log_service.Propose(workload::EncodeCommand(command), std::move(done),
@@ -112,6 +122,8 @@
   void OnEnvelope(wire::Envelope envelope);
   void OnJoin(const std::string& id);
   void CheckLeadership();
+  void MeasureLoopDelay(base::TimePoint now);
+  void LogLoad(base::TimePoint now);
   void ManageReplicas();
   void AskToJoin(const consensus::Status& status);
   void ApplyReplicaChange(const ReplicaChange& change);
@@ -151,7 +163,55 @@
   }
 }
 
+void CoreNode::Private::MeasureLoopDelay(base::TimePoint now) {
+  if (this->leader_timer_due != base::TimePoint{}) {
+    this->max_loop_delay = std::max(this->max_loop_delay, now - this->leader_timer_due);
+  }
+  this->leader_timer_due = now + kLeadershipCheckInterval;
+}
+
+/// Logs what the loop's time went into. The times are elapsed times: they include those during
+/// which the VM gave this process no processor.
+void CoreNode::Private::LogLoad(base::TimePoint now) {
+  if (now < this->next_load_log_at) return;
+  this->next_load_log_at = now + kLoadLogInterval;
+  const auto totals = this->meter.Take();
+  const base::Duration delay = std::exchange(this->max_loop_delay, {});
+  const base::Duration processor_time = this->loop.ProcessorTime();
+  const base::Duration used =
+      processor_time - std::exchange(this->logged_processor_time, processor_time);
+  if (!this->run_manager.IsLeading()) return;
+  const auto of = [&](metrics::Activity activity) {
+    return totals[static_cast<std::size_t>(activity)];
+  };
+  const auto ms = [&](metrics::Activity activity) {
+    return base::ToMilliseconds(of(activity).time);
+  };
+  using metrics::Activity;
+  log::Info(log::Category::kPlacement, "leader load",
+            {{"loop_delay_ms", base::ToMilliseconds(delay)},
+             {"processor_ms", base::ToMilliseconds(used)},
+             {"plan_ms", ms(Activity::kPlan)},
+             {"plans", of(Activity::kPlan).calls},
+             {"polls_ms", ms(Activity::kPolls)},
+             {"requests_ms", ms(Activity::kRequests)},
+             {"responses_ms", ms(Activity::kResponses)},
+             {"responses", of(Activity::kResponses).calls},
+             {"reports_ms", ms(Activity::kReports)},
+             {"reports", of(Activity::kReports).calls},
+             {"callers_ms", ms(Activity::kCallers)},
+             {"callers", of(Activity::kCallers).calls},
+             {"consensus_ms", ms(Activity::kConsensus)},
+             {"apply_ms", ms(Activity::kApply)},
+             {"snapshot_ms", ms(Activity::kSnapshot)},
+             {"disk_ms", ms(Activity::kDisk)},
+             {"disk_writes", of(Activity::kDisk).calls},
+             {"other_ms", ms(Activity::kOther)}});
+}
+
 void CoreNode::Private::CheckLeadership() {
+  this->MeasureLoopDelay(this->loop.Now());
+  this->LogLoad(this->loop.Now());
   const consensus::Status status = this->log_service.Status();
   if (status.leader != this->logged_leader) {
     this->logged_leader = status.leader;
@@ -266,6 +326,7 @@
   options.incarnation = node.loop.RandomBits();
   options.seed = node.loop.RandomBits();
   options.snapshot_every = kEntriesPerSnapshot;
+  options.meter = &node.meter;
   if (auto opened = node.log_service.Open(std::move(options)); !base::Ok(opened)) return opened;
   node.log_service.SetOnApplied([&node](consensus::Index, std::string_view, std::string_view) {
     if (!node.run_manager.IsLeading() || !node.state_machine.last) return;
@@ -430,6 +491,7 @@
 
 void CoreNode::HandleCallerRequest(CallerRequest request, const OnReply& done) {
   Private& node = *this->d;
+  const metrics::ActivityMeter::Scope measured(node.meter, metrics::Activity::kCallers);
   if (!this->IsActiveLeader()) return done(node.NotLeaderReply());
   if (request.verb == CallerVerb::kProbe) {
     RelayReply reply = node.NotLeaderReply();
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -9,6 +9,8 @@
 using dispatch::RunView;
 using dispatch::StartRequestState;
 using dispatch::TargetView;
+using metrics::Activity;
+using metrics::ActivityMeter;
 using workload::End;
 using workload::RunEnd;
 using workload::TargetIncarnation;
@@ -108,6 +110,7 @@
 }
 
 void RunManager::SendPolls(base::TimePoint now) {
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPolls);
   for (auto& [id, view] : this->targets.All()) {
     const dispatch::PollState& poll = view.poll;
     if (poll.in_flight || now < poll.next_at) continue;
@@ -144,6 +147,7 @@
 void RunManager::OnPollResponse(base::TimePoint now, const TargetIncarnation& target,
                                 base::TimePoint sent_at, std::uint64_t acknowledged,
                                 const PollResponse& response) {
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
   TargetView* view = this->targets.Find(target.id);
   if (view == nullptr || view->incarnation != target) return;
   dispatch::PollState& poll = view->poll;
@@ -253,6 +257,7 @@
 }
 
 void RunManager::SendRequests(base::TimePoint now) {
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kRequests);
   for (auto& [id, view] : this->targets.All()) {
     if (view.is_fenced && view.has_pending_requests) {
       view.has_pending_requests = this->SendRequestsTo(now, view);
@@ -320,6 +325,7 @@
 void RunManager::OnStartResponse(base::TimePoint now, const TargetIncarnation& target,
                                  const TaskRef& task, std::uint32_t run_number,
                                  const CallResponse& response) {
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
   log::Info(log::Category::kJobs, "start answered",
             {{"task", workload::ToText(task)},
              {"run", run_number},
@@ -458,6 +464,7 @@
 
 void RunManager::ProposeChanges(base::TimePoint now) {
   if (this->proposal_in_flight) return;
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPlan);
   const std::int64_t time_of_day_ms = this->context.TimeOfDayMs();
   workload::RunChanges changes;
   changes.at_ms = time_of_day_ms;
@@ -534,6 +541,7 @@
 
 void RunManager::Announce(base::TimePoint now, const Announcement& announcement,
                           const OnAnnounced& done) {
+  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kReports);
   if (!this->leading) return done(false);
   const TargetRecord& target = announcement.target;
   const auto known = this->state.Targets().find(target.incarnation.id);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -26,6 +26,7 @@
 #include "dispatch/migration.h"
 #include "dispatch/planner.h"
 #include "dispatch/target_tracker.h"
+#include "metrics/activity_meter.h"
 #include "workload/workload_state.h"
 
 namespace mangoroad::controller {
@@ -43,6 +44,7 @@
   /// Schedules a call of RunManager::Advance; repeated requests are coalesced.
   virtual void RequestAdvance() = 0;
   [[nodiscard]] virtual std::int64_t TimeOfDayMs() = 0;
+  [[nodiscard]] virtual metrics::ActivityMeter& Meter() = 0;
 };
 
 struct RunManagerSettings {
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -9,6 +9,7 @@
 #include "consensus/consensus_codec.h"
 #include "consensus/durable_log.h"
 #include "log/log.h"
+#include "metrics/activity_meter.h"
 #include "net/event_loop.h"
 #include "storage/file_system.h"
 #include "storage/wal.h"
@@ -21,6 +22,9 @@
 /// Answers of the latest entries, for proposals whose fate is reported after they were applied.
 constexpr consensus::Index kKeptAnswers = 65'536;
 
+using MeterScope = std::optional<metrics::ActivityMeter::Scope>;
+using metrics::Activity;
+
 }  // namespace
 
 struct LogService::Private {
@@ -56,6 +60,11 @@
           Send send_message)
       : loop(event_loop), files(file_system), state(applied_state), send(std::move(send_message)) {}
 
+  /// Measures an activity until the scope ends, where a meter is set.
+  [[nodiscard]] MeterScope Measure(Activity activity) {
+    if (this->options.meter == nullptr) return std::nullopt;
+    return MeterScope(std::in_place, *this->options.meter, activity);
+  }
   void FailStorage(const storage::StorageError& error);
   bool Persist(const consensus::Output& output);
   void ApplyCommitted(const std::vector<consensus::LogEntry>& entries);
@@ -81,6 +90,7 @@
 bool LogService::Private::Persist(const consensus::Output& output) {
   if (this->wal == nullptr) return true;
   if (!this->storage_fault.empty()) return false;
+  const MeterScope measured = this->Measure(Activity::kDisk);
   const auto stored = consensus::StoreOutput(*this->wal, output);
   if (base::Ok(stored)) return true;
   this->FailStorage(base::ErrorOf(stored));
@@ -88,6 +98,7 @@
 }
 
 void LogService::Private::ApplyCommitted(const std::vector<consensus::LogEntry>& entries) {
+  const MeterScope measured = this->Measure(Activity::kApply);
   for (const consensus::LogEntry& entry : entries) {
     MANGOROAD_INVARIANT(entry.index == this->applied + 1);
     this->applied = entry.index;
@@ -165,12 +176,14 @@
 
 void LogService::Private::MaybeCompact() {
   if (this->applied - this->last_snapshot < this->options.snapshot_every) return;
+  const MeterScope measured = this->Measure(Activity::kSnapshot);
   this->last_snapshot = this->applied;
   this->replica->CompactTo(this->applied, this->state.Snapshot());
 }
 
 void LogService::Private::Flush() {
   this->flush_posted = false;
+  const MeterScope measured = this->Measure(Activity::kConsensus);
   // An output can cause another one, for example a commit after the sync of a single voter.
   for (int round = 0; round < 8; ++round) {
     const consensus::Output output = this->replica->TakeOutput();
@@ -257,6 +270,7 @@
                  {{"bytes", message.size()}});
     return;
   }
+  const MeterScope measured = this->d->Measure(Activity::kConsensus);
   this->d->replica->Step(this->d->loop.Now(), std::move(*decoded));
   this->d->ScheduleFlush();
 }
--- a/src/libs/entry/log_service.h
+++ b/src/libs/entry/log_service.h
@@ -23,6 +23,10 @@
 class EventLoop;
 }
 
+namespace mangoroad::metrics {
+class ActivityMeter;
+}
+
 namespace mangoroad::entry {
 
 /// The state machine that committed commands are applied to.
@@ -71,6 +75,8 @@
   std::uint64_t seed = 0;
   /// Entries between two snapshots.
   consensus::Index snapshot_every = 20'000;
+  /// Measures the log's share of the loop's time; must outlive the service.
+  metrics::ActivityMeter* meter = nullptr;
 };
 
 /// All calls are made on the loop's thread.
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -74,6 +74,8 @@
   return base::ToMilliseconds(ReadClock(CLOCK_REALTIME));
 }
 
+base::Duration EventLoop::ProcessorTime() const { return ReadClock(CLOCK_PROCESS_CPUTIME_ID); }
+
 std::uint64_t EventLoop::RandomBits() const {
   std::uint64_t bits = 0;
   evutil_secure_rng_get_bytes(&bits, sizeof(bits));
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -43,6 +43,9 @@
   /// Wall clock, only for labels of records.
   [[nodiscard]] base::WallMilliseconds WallNow() const;
 
+  /// Processor time that this process has used so far.
+  [[nodiscard]] base::Duration ProcessorTime() const;
+
   /// Random bits from the operating system, for identities and nonces.
   [[nodiscard]] std::uint64_t RandomBits() const;
 
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -54,11 +54,13 @@
     this->log.time.After(0, [this] { this->run_manager.Advance(this->log.time.Now()); });
   }
   std::int64_t TimeOfDayMs() override { return this->log.time.NowMs(); }
+  metrics::ActivityMeter& Meter() override { return this->meter; }
 
   FakeLog& log;
   std::uint64_t term;
   /// The leader has had no contact with a majority and its leadership lease has expired.
   bool has_lost_lease = false;
+  metrics::ActivityMeter meter{[this] { return this->log.time.Now(); }};
   RunManager run_manager;
 };
 
