Start a replica again when a power loss reordered its unsynced writes

Cause: a power loss keeps, loses or tears each write since the last sync by itself. The log was cut only where nothing but zeros followed the torn record; a lost write before a kept one counted as damage. Fix: a record that ends in zeros, or whose header does, was never synced, so nothing after it was. The log ends there. A write that loses its middle and keeps its end still counts as damage.

--- a/src/libs/storage/fake_disk.cc
+++ b/src/libs/storage/fake_disk.cc
@@ -17,10 +17,46 @@
 struct Inode {
   std::string bytes;
   std::size_t synced = 0;
+  /// Where each write since the last sync begins.
+  std::vector<std::size_t> unsynced_writes;
+
+  void MarkSynced() {
+    this->synced = this->bytes.size();
+    this->unsynced_writes.clear();
+  }
 };
 using InodePointer = std::shared_ptr<Inode>;
 using Names = std::map<std::string, InodePointer>;
 
+/// Keeps a random prefix of the unsynced bytes, sometimes followed by zeros up to the old size.
+void KeepPrefix(Inode& inode, base::Random& random) {
+  const std::size_t size = inode.bytes.size();
+  const auto unsynced = static_cast<std::uint32_t>(size - inode.synced);
+  inode.bytes.resize(inode.synced + random.Below(unsynced + 1));
+  if (random.Chance(0.25)) inode.bytes.resize(size, '\0');
+}
+
+/// Keeps, loses or tears each unsynced write by itself; what is lost before a kept one reads as
+/// zeros.
+void KeepSomeWrites(Inode& inode, base::Random& random) {
+  std::size_t kept_size = inode.synced;
+  for (std::size_t i = 0; i < inode.unsynced_writes.size(); ++i) {
+    const std::size_t begin = inode.unsynced_writes[i];
+    const std::size_t end =
+        i + 1 < inode.unsynced_writes.size() ? inode.unsynced_writes[i + 1] : inode.bytes.size();
+    std::size_t kept = end - begin;
+    if (random.Chance(0.3)) {
+      kept = 0;
+    } else if (random.Chance(0.3)) {
+      kept = random.Below(static_cast<std::uint32_t>(end - begin));
+    }
+    std::fill(inode.bytes.begin() + static_cast<std::ptrdiff_t>(begin + kept),
+              inode.bytes.begin() + static_cast<std::ptrdiff_t>(end), '\0');
+    if (kept > 0) kept_size = random.Chance(0.5) ? end : begin + kept;
+  }
+  inode.bytes.resize(kept_size);
+}
+
 /// A change of one name that isn't synced yet; an empty inode removes the name.
 struct NameChange {
   std::string path;
@@ -81,6 +117,7 @@
       : disk(std::move(owner)), path(std::move(name)), inode(std::move(contents)) {}
 
   StorageResult<Done> Append(std::string_view bytes) override {
+    this->inode->unsynced_writes.push_back(this->inode->bytes.size());
     if (this->disk->capacity == std::numeric_limits<std::uint64_t>::max()) {
       this->inode->bytes += bytes;
       return Done{};
@@ -95,13 +132,15 @@
 
   StorageResult<Done> Sync() override {
     MANGOROAD_RETURN_IF_FAILED(this->disk->CountSync(this->path));
-    this->inode->synced = this->inode->bytes.size();
+    this->inode->MarkSynced();
     return Done{};
   }
 
   StorageResult<Done> Truncate(std::uint64_t size) override {
     this->inode->bytes.resize(static_cast<std::size_t>(size));
     this->inode->synced = std::min(this->inode->synced, this->inode->bytes.size());
+    std::erase_if(this->inode->unsynced_writes,
+                  [size](std::size_t begin) { return begin >= size; });
     return Done{};
   }
 
@@ -167,10 +206,11 @@
     for (const NameChange& change : this->d->pending[i]) ApplyChange(this->d->synced_names, change);
   }
   for (const auto& [path, inode] : this->d->synced_names) {
-    const std::size_t size = inode->bytes.size();
-    const auto unsynced = static_cast<std::uint32_t>(size - inode->synced);
-    inode->bytes.resize(inode->synced + random.Below(unsynced + 1));
-    if (random.Chance(0.25)) inode->bytes.resize(size, '\0');
+    if (random.Chance(0.5)) {
+      KeepPrefix(*inode, random);
+    } else {
+      KeepSomeWrites(*inode, random);
+    }
   }
   this->LoseUnsyncedNames();
 }
@@ -184,7 +224,7 @@
   this->d->names = this->d->synced_names;
   this->d->pending.clear();
   this->d->syncs_until_failure.reset();
-  for (const auto& [path, inode] : this->d->names) inode->synced = inode->bytes.size();
+  for (const auto& [path, inode] : this->d->names) inode->MarkSynced();
 }
 
 void FakeDisk::SetCapacity(std::uint64_t bytes) { this->d->capacity = bytes; }
--- a/src/libs/storage/fake_disk.h
+++ b/src/libs/storage/fake_disk.h
@@ -29,8 +29,9 @@
   StorageResult<base::Done> Remove(const std::string& path) override;
   StorageResult<base::Done> SyncFolder(const std::string& folder) override;
 
-  /// Power loss: of each file's unsynced bytes a prefix of random length survives, sometimes
-  /// followed by zeros up to the old size; of the unsynced changes of names a prefix survives.
+  /// Power loss: of each file's unsynced bytes either a prefix of random length survives, sometimes
+  /// followed by zeros up to the old size, or each write survives, is lost or is torn by itself. Of
+  /// the unsynced changes of names a prefix survives.
   /// Files open at this moment must not be used any more; an injected sync failure is forgotten.
   void Crash(base::Random& random);
   /// As Crash, but nothing unsynced survives.
--- a/src/libs/storage/record_file.cc
+++ b/src/libs/storage/record_file.cc
@@ -42,19 +42,20 @@
 
 enum class RecordState { kWhole, kTorn, kBadHeader, kBadPayload };
 
+/// A power loss keeps, loses or tears each unsynced write by itself, so that whole records may
+/// follow a torn one. A lost part reads as zeros, up to the end of its record at least; the end
+/// mark and the checksum tell it from damage.
 RecordState CheckRecord(std::string_view rest, std::uint64_t sequence) {
   if (rest.size() < kRecordHeaderBytes || AllZero(rest)) return RecordState::kTorn;
   if (GetU32(rest, 4) != ShortChecksum(rest.substr(0, 4), sequence)) {
-    // A header that was cut inside is followed by zeros only.
-    return AllZero(rest.substr(7)) ? RecordState::kTorn : RecordState::kBadHeader;
+    return AllZero(rest.substr(7, kRecordHeaderBytes - 7)) ? RecordState::kTorn
+                                                           : RecordState::kBadHeader;
   }
   const std::size_t end = kRecordHeaderBytes + std::size_t{GetU32(rest, 0)};
-  if (rest.size() <= end) return RecordState::kTorn;
+  if (rest.size() <= end || rest[end] == '\0') return RecordState::kTorn;
   const std::string_view payload = rest.substr(kRecordHeaderBytes, end - kRecordHeaderBytes);
-  if (GetU64(rest, 8) == Checksum(payload, sequence) && rest[end] == kEndMark) {
-    return RecordState::kWhole;
-  }
-  return AllZero(rest.substr(end)) ? RecordState::kTorn : RecordState::kBadPayload;
+  const bool is_whole = GetU64(rest, 8) == Checksum(payload, sequence) && rest[end] == kEndMark;
+  return is_whole ? RecordState::kWhole : RecordState::kBadPayload;
 }
 
 }  // namespace
--- a/src/libs/storage/record_file.h
+++ b/src/libs/storage/record_file.h
@@ -34,9 +34,10 @@
 /// Returns false when the payload can't be decoded.
 using RecordVisitor = std::function<bool(std::string_view payload)>;
 
-/// Passes each whole record of `bytes` to the visitor. A tail counts as torn when the file ends
-/// inside a header or record, or when the record ends in zeros up to the end of the file; each
-/// other fault is damage, reported with `path` and offset.
+/// Passes each whole record of `bytes` to the visitor, up to the first one that isn't whole. That
+/// one counts as torn when the file ends inside it or when it ends in zeros. It wasn't synced, so
+/// nothing after it was, whatever is found there. Each other fault is damage, reported with `path`
+/// and offset.
 StorageResult<ScannedFile> ScanRecords(const std::string& path, std::string_view bytes,
                                        std::uint64_t sequence, const RecordVisitor& visitor);
 
--- a/tests/auto/storage/tst_wal.cc
+++ b/tests/auto/storage/tst_wal.cc
@@ -84,6 +84,34 @@
   }
 }
 
+// Guards against a replica that never starts again after a power loss: the disk had kept an
+// unsynced write and lost the one before it, and the gap was taken for damage.
+TEST_CASE("unsynced writes that reached the disk in another order are cut, what was synced stays") {
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    INFO("seed " << seed);
+    base::Random random(seed);
+    FakeDisk disk;
+    const Index synced = 1 + random.Below(10);
+    {
+      OpenedWal opened = Open(disk);
+      Store(*opened.wal, Entries(1, synced, 1));
+      for (Index next = synced + 1; next <= synced + 6; ++next) {
+        REQUIRE(base::Ok(opened.wal->Append(Entries(next, next, 1))));
+        REQUIRE(base::Ok(opened.wal->SaveHardState({1, "a", next - 1})));
+      }
+    }
+    disk.Crash(random);
+    OpenedWal opened = Open(disk);
+    REQUIRE(opened.entries.size() >= synced);
+    REQUIRE(opened.entries == Entries(1, opened.entries.size(), 1));
+    const Index next = opened.entries.size() + 1;
+    Store(*opened.wal, Entries(next, next, 2));
+    opened.wal.reset();
+    disk.LoseUnsynced();
+    REQUIRE(Open(disk).entries.back() == Entry(next, 2));
+  }
+}
+
 // Guards against a flipped bit that is taken for a torn tail or read as data, and against an open
 // that changes files although it fails.
 TEST_CASE("a flipped bit anywhere in synced data is reported with file and offset") {
