Sync the replicated log beside the event loop

Cause (one of two): the loop stood still during each sync of the log. On a VM whose syncs take 9 ms, "leader load" shows 820 ms of a second on the disk in the start phase and 110 to 280 ms under load, time in which no response, heartbeat or request was handled. The class: blocking calls on the loop. Fix: Wal::BeginSync and FinishSync split a sync, net::BackgroundThread makes the call, and its end is handled on the loop, which alone decides. What waits for a sync still waits for one that began after it was written. A segment that got writes during a sync is synced before the next one is begun; without that line the new test of the log loses entry 7.

--- a/src/libs/consensus/durable_log.cc
+++ b/src/libs/consensus/durable_log.cc
@@ -4,7 +4,7 @@
 
 namespace mangoroad::consensus {
 
-storage::StorageResult<base::Done> StoreOutput(storage::Wal& wal, const Output& output) {
+storage::StorageResult<base::Done> WriteOutput(storage::Wal& wal, const Output& output) {
   if (output.snapshot_to_sync) {
     MANGOROAD_RETURN_IF_FAILED(wal.SaveSnapshot(*output.snapshot_to_sync));
   }
@@ -13,6 +13,11 @@
   if (!output.entries_to_sync.empty()) {
     MANGOROAD_RETURN_IF_FAILED(wal.Append(output.entries_to_sync));
   }
+  return base::Done{};
+}
+
+storage::StorageResult<base::Done> StoreOutput(storage::Wal& wal, const Output& output) {
+  MANGOROAD_RETURN_IF_FAILED(WriteOutput(wal, output));
   if (output.sync_id == 0) return base::Done{};
   return wal.Sync();
 }
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -10,6 +10,7 @@
 #include "consensus/durable_log.h"
 #include "log/log.h"
 #include "metrics/activity_meter.h"
+#include "net/background_thread.h"
 #include "net/event_loop.h"
 #include "storage/file_system.h"
 #include "storage/wal.h"
@@ -55,6 +56,12 @@
   bool flush_posted = false;
   net::PostScope posts{this->loop};
   net::Timer tick_timer;
+  /// The last output that was written and isn't synced; 0: none.
+  std::uint64_t sync_id_to_begin = 0;
+  bool sync_in_progress = false;
+  /// Syncs the log, so that the loop doesn't wait for the disk. Declared last: its destructor waits
+  /// for a sync that uses the members above.
+  std::unique_ptr<net::BackgroundThread> disk_thread;
 
   Private(net::EventLoop& event_loop, storage::FileSystem& file_system, AppliedState& applied_state,
           Send send_message)
@@ -66,7 +73,9 @@
     return MeterScope(std::in_place, *this->options.meter, activity);
   }
   void FailStorage(const storage::StorageError& error);
-  bool Persist(const consensus::Output& output);
+  bool Write(const consensus::Output& output);
+  void BeginSync();
+  void OnSynced(std::uint64_t sync_id, storage::StorageResult<base::Done> result);
   void ApplyCommitted(const std::vector<consensus::LogEntry>& entries);
   void Resolve(const consensus::ResolvedProposal& resolved);
   void Submit(Pending& item);
@@ -86,17 +95,39 @@
   this->replica->OnStorageFailed(this->loop.Now());
 }
 
-/// Stores an output; false after a disk fault.
-bool LogService::Private::Persist(const consensus::Output& output) {
+/// Writes an output without syncing it; false after a disk fault.
+bool LogService::Private::Write(const consensus::Output& output) {
   if (this->wal == nullptr) return true;
   if (!this->storage_fault.empty()) return false;
   const MeterScope measured = this->Measure(Activity::kDisk);
-  const auto stored = consensus::StoreOutput(*this->wal, output);
-  if (base::Ok(stored)) return true;
-  this->FailStorage(base::ErrorOf(stored));
+  const auto written = consensus::WriteOutput(*this->wal, output);
+  if (base::Ok(written)) return true;
+  this->FailStorage(base::ErrorOf(written));
   return false;
 }
 
+/// Begins a sync of all outputs written so far. Those written meanwhile share the next one.
+void LogService::Private::BeginSync() {
+  if (this->sync_in_progress || this->sync_id_to_begin == 0 || !this->storage_fault.empty()) return;
+  this->sync_in_progress = true;
+  const std::uint64_t sync_id = std::exchange(this->sync_id_to_begin, 0);
+  auto result = std::make_shared<storage::StorageResult<base::Done>>();
+  this->disk_thread->Run([sync = this->wal->BeginSync(), result] { *result = sync(); },
+                         [this, sync_id, result] { this->OnSynced(sync_id, *result); });
+}
+
+void LogService::Private::OnSynced(std::uint64_t sync_id,
+                                   storage::StorageResult<base::Done> result) {
+  this->sync_in_progress = false;
+  const auto finished = this->wal->FinishSync(std::move(result));
+  if (base::Ok(finished)) {
+    if (this->storage_fault.empty()) this->replica->OnSynced(this->loop.Now(), sync_id);
+  } else {
+    this->FailStorage(base::ErrorOf(finished));
+  }
+  this->Flush();
+}
+
 void LogService::Private::ApplyCommitted(const std::vector<consensus::LogEntry>& entries) {
   const MeterScope measured = this->Measure(Activity::kApply);
   for (const consensus::LogEntry& entry : entries) {
@@ -199,12 +230,18 @@
       if (this->on_restored) this->on_restored();
     }
     this->ApplyCommitted(output.committed);
-    const bool stored = this->Persist(output);
+    const bool is_written = this->Write(output);
     std::ranges::for_each(output.resolved, [this](const auto& item) { this->Resolve(item); });
     this->MaybeCompact();
     if (output.sync_id == 0) break;
-    if (stored) this->replica->OnSynced(this->loop.Now(), output.sync_id);
+    if (!is_written) continue;
+    if (this->wal == nullptr) {
+      this->replica->OnSynced(this->loop.Now(), output.sync_id);
+    } else {
+      this->sync_id_to_begin = output.sync_id;
+    }
   }
+  this->BeginSync();
 }
 
 /// All proposals and messages of one round of the loop share one sync.
@@ -240,6 +277,7 @@
       log::Warning(log::Category::kStorage, "torn tail cut", {{"bytes", found.cut_bytes}});
     }
     this->d->wal = std::move(found.wal);
+    this->d->disk_thread = std::make_unique<net::BackgroundThread>(this->d->loop);
     restored = consensus::TakeRestoredState(found);
   }
   if (restored.snapshot) {
--- a/src/libs/storage/wal.cc
+++ b/src/libs/storage/wal.cc
@@ -109,9 +109,12 @@
   std::string folder;
   WalOptions options;
   std::vector<Segment> segments;
-  std::unique_ptr<File> file;
+  /// Shared with a sync on another thread, which may last longer than the segment is in use.
+  std::shared_ptr<File> file;
   HardState hard_state;
   bool failed = false;
+  /// Something was written since the last sync was begun.
+  bool has_unsynced_writes = false;
 
   StorageResult<Done> CheckUsable() const {
     if (!this->failed) return Done{};
@@ -123,6 +126,7 @@
   StorageResult<Done> Write(const std::string& bytes) {
     MANGOROAD_RETURN_IF_FAILED(this->CheckUsable());
     const std::uint64_t size = this->file->Size();
+    this->has_unsynced_writes = true;
     auto written = this->file->Append(bytes);
     // A part of a record that can't be cut off would turn later records into damage.
     if (!base::Ok(written) && !base::Ok(this->file->Truncate(size))) this->failed = true;
@@ -161,6 +165,7 @@
 
   StorageResult<Done> SyncFile() {
     MANGOROAD_RETURN_IF_FAILED(this->CheckUsable());
+    this->has_unsynced_writes = false;
     const auto synced = this->file->Sync();
     if (!base::Ok(synced)) this->failed = true;
     return synced;
@@ -169,6 +174,8 @@
   /// A full disk leaves the old segment in use.
   StorageResult<Done> RotateIfLarge(std::uint64_t limit) {
     if (this->file->Size() < limit) return Done{};
+    // Later syncs only reach the new segment.
+    if (this->has_unsynced_writes) MANGOROAD_RETURN_IF_FAILED(this->SyncFile());
     auto added = this->AddSegment(this->segments.back().sequence + 1);
     if (!base::Ok(added) && base::ErrorOf(added).kind == StorageErrorKind::kNoSpace) return Done{};
     return added;
@@ -308,6 +315,21 @@
   return this->d->RotateIfLarge(this->d->options.segment_bytes);
 }
 
+Wal::SyncCall Wal::BeginSync() {
+  if (this->d->failed) return [error = this->d->CheckUsable()] { return error; };
+  this->d->has_unsynced_writes = false;
+  return [file = this->d->file] { return file->Sync(); };
+}
+
+StorageResult<Done> Wal::FinishSync(StorageResult<Done> result) {
+  if (!base::Ok(result)) {
+    this->d->failed = true;
+    return result;
+  }
+  MANGOROAD_RETURN_IF_FAILED(this->d->CheckUsable());
+  return this->d->RotateIfLarge(this->d->options.segment_bytes);
+}
+
 StorageResult<Done> Wal::SaveSnapshot(const Snapshot& snapshot) {
   MANGOROAD_RETURN_IF_FAILED(this->d->CheckUsable());
   auto written = internal::WriteSnapshot(this->d->files, this->d->folder, snapshot);
--- a/src/libs/storage/wal.h
+++ b/src/libs/storage/wal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -41,6 +42,11 @@
   /// Voids all entries after `last_kept`.
   StorageResult<base::Done> Truncate(Index last_kept);
   StorageResult<base::Done> Sync();
+  /// The sync of all that was written so far as a call that may be made on another thread while the
+  /// log is in use. Its result must be passed to FinishSync, before the next BeginSync.
+  using SyncCall = std::function<StorageResult<base::Done>()>;
+  [[nodiscard]] SyncCall BeginSync();
+  StorageResult<base::Done> FinishSync(StorageResult<base::Done> result);
   /// Makes a snapshot durable, then removes older ones and the segments that it covers.
   StorageResult<base::Done> SaveSnapshot(const Snapshot& snapshot);
 
--- a/tests/auto/storage/tst_wal.cc
+++ b/tests/auto/storage/tst_wal.cc
@@ -218,6 +218,38 @@
   CHECK(Open(disk).entries == Entries(1, 5, 1));
 }
 
+// Guards against entries that are written during a sync and are lost when the sync ends with a new
+// segment, since later syncs only reach that one.
+TEST_CASE("what is written during a sync is durable after the next one") {
+  FakeDisk disk;
+  OpenedWal opened = Open(disk, 256);
+  Store(*opened.wal, Entries(1, 3, 1));
+  REQUIRE(base::Ok(opened.wal->Append(Entries(4, 6, 1))));
+  const Wal::SyncCall sync = opened.wal->BeginSync();
+  const auto synced = sync();
+  REQUIRE(base::Ok(opened.wal->Append(Entries(7, 7, 1))));
+  const std::size_t segments = opened.wal->SegmentCount();
+  REQUIRE(base::Ok(opened.wal->FinishSync(synced)));
+  CHECK(opened.wal->SegmentCount() > segments);
+  Store(*opened.wal, Entries(8, 8, 1));
+  opened.wal.reset();
+  disk.LoseUnsynced();
+  CHECK(Open(disk, 256).entries == Entries(1, 8, 1));
+}
+
+// Guards against a log that is used on although a sync on another thread failed.
+TEST_CASE("a failed sync on another thread is final for the process") {
+  FakeDisk disk;
+  OpenedWal opened = Open(disk);
+  Store(*opened.wal, Entries(1, 5, 1));
+  REQUIRE(base::Ok(opened.wal->Append(Entries(6, 6, 1))));
+  disk.FailSyncAfter(0);
+  CHECK_FALSE(base::Ok(opened.wal->FinishSync(opened.wal->BeginSync()())));
+  CHECK(opened.wal->Failed());
+  CHECK(base::ErrorOf(opened.wal->BeginSync()()).kind == StorageErrorKind::kFailed);
+  CHECK(base::ErrorOf(opened.wal->Append(Entries(7, 7, 1))).kind == StorageErrorKind::kFailed);
+}
+
 // Guards against a crash at any sync while a snapshot is saved that loses the state, and against
 // segments that are never removed.
 TEST_CASE("a snapshot replaces the log that it covers, whatever sync a crash follows") {
