Keep the capacities of targets between planning rounds

"leader load" shows 150 ms of planning a second in 3 to 7 rounds, 30 ms each, so that a step of a job waited for one of five rounds a second. The class: work for one change that grows with the size of the fleet. Evidence: the new test "the effort of a round follows the changes", with 490 targets and a step of 57 tasks; without the two changes it counts 490 measured targets for a single change (bound 57) and 27,930 scores for one step (bound 547). Fix: a capacity is kept until the log changes the target or its tasks, a baseline changes, this round planned there, or 500 ms have passed, as interference is learned on other targets, too. The tasks of a step share one queue of candidates, since a start changes only its own target's score. Runs on targets that are no longer registered don't count for the headroom of short tasks any more.

--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -85,6 +85,7 @@
     latency_critical_runs[i]->baseline = latency_critical[i].baseline;
     latency_critical_runs[i]->violating_since = latency_critical[i].violating_since;
   }
+  if (!latency_critical.empty()) view.baseline_changes += 1;
   bool is_throttled = false;
   for (std::size_t i = 0; i < best_effort.size(); ++i) {
     best_effort_runs[i]->wanted_rate_percent = best_effort[i].rate_percent;
--- a/src/libs/dispatch/planner.cc
+++ b/src/libs/dispatch/planner.cc
@@ -1,7 +1,10 @@
 #include "dispatch/planner.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <ranges>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -58,6 +61,14 @@
 constexpr double kNegligibleInterference = 0.06;
 /// Fraction of their processors that latency-critical tasks leave unused on average.
 constexpr double kUnusedFraction = 0.5;
+/// A capacity is measured anew after this time at the latest, since the interference model changes
+/// with the measurements of other targets, too.
+constexpr base::Duration kMaxCapacityAge = std::chrono::milliseconds(500);
+
+/// True when the task failed or stalled where it ran last, so that another target is better.
+bool HasRunBadly(const StepSpec& spec, const Task& task) {
+  return spec.long_running ? task.failures > 0 : task.run > 0;
+}
 
 double ShareOf(const TargetRecord& target, const StepSpec& spec) {
   return target.capacity.cpu <= 0
@@ -67,16 +78,26 @@
 
 }  // namespace
 
-double Planner::ExpectedRate(const TargetCapacity& capacity, const StepSpec& spec) const {
+Planner::Request Planner::RequestOf(const Job& job, const StepSpec& spec) const {
+  const InterferenceModel& model = this->tracker.Interference();
+  Request request{job, spec, spec.resources};
+  // A best-effort task takes only the processor time that others leave.
+  if (spec.best_effort) request.needed.cpu = 0;
+  if (spec.best_effort) request.image_index = model.FindImageIndex(spec.image);
+  if (spec.latency_slo_ms > 0) request.regression = model.FindRegression(spec.image);
+  return request;
+}
+
+double Planner::ExpectedRate(const TargetCapacity& capacity, const Request& request) const {
+  const StepSpec& spec = request.spec;
   const InterferenceModel& model = this->tracker.Interference();
   const double share = ShareOf(*capacity.target, spec);
   const double wanted = static_cast<double>(capacity.best_effort_cpu + spec.resources.cpu);
   const double unused = static_cast<double>(capacity.free.cpu) +
                         kUnusedFraction * static_cast<double>(capacity.latency_critical_cpu);
   double rate = wanted <= 0 ? 1.0 : std::min(1.0, std::max(0.0, unused) / wanted);
-  const std::size_t index = model.FindImageIndex(spec.image);
   for (const LatencyCriticalLoad& load : capacity.latency_critical) {
-    const double interference = model.InterferenceAt(load.regression, index) * share;
+    const double interference = model.InterferenceAt(load.regression, request.image_index) * share;
     // A task that interferes little may start even if others have used up the budget.
     if (interference < kNegligibleInterference) continue;
     const double budget = kPlacementLimit - load.baseline - load.interference;
@@ -95,50 +116,72 @@
   return colocation;
 }
 
-int Planner::InterferenceLevel(const TargetCapacity& capacity, const StepSpec& spec) const {
-  if (spec.best_effort) {
-    return static_cast<int>((1.0 - this->ExpectedRate(capacity, spec)) * kLevels);
-  }
-  if (spec.latency_slo_ms <= 0) return 0;
+int Planner::InterferenceLevel(const TargetCapacity& capacity, const Request& request) const {
+  if (request.spec.latency_slo_ms <= 0) return 0;
   const InterferenceModel& model = this->tracker.Interference();
-  const InterferenceModel::Regression* regression = model.FindRegression(spec.image);
   double sum = 0;
   for (const Neighbour& neighbour : capacity.neighbours) {
-    sum += model.InterferenceAt(regression, neighbour.index) * neighbour.share;
+    sum += model.InterferenceAt(request.regression, neighbour.index) * neighbour.share;
   }
   return static_cast<int>(std::max(0.0, kBaselinePrior + sum - kPlacementLimit) /
                           kInterferenceStep);
 }
 
+bool Planner::IsUpToDate(base::TimePoint now, const TargetRecord& target, const TargetView& view,
+                         const TargetCapacity& capacity) const {
+  return capacity.target == &target && !capacity.has_planned_tasks &&
+         capacity.state_change == this->state.LastChangeOf(target.incarnation.id) &&
+         capacity.baseline_changes == view.baseline_changes &&
+         now - capacity.measured_at < kMaxCapacityAge;
+}
+
+void Planner::MeasureCapacity(base::TimePoint now, const TargetRecord& target,
+                              const TargetView& view, TargetCapacity& capacity) {
+  this->effort.measured_targets += 1;
+  capacity = {};
+  capacity.target = &target;
+  capacity.free = target.capacity;
+  capacity.state_change = this->state.LastChangeOf(target.incarnation.id);
+  capacity.baseline_changes = view.baseline_changes;
+  capacity.measured_at = now;
+  const auto running = this->state.RunningOn().find(target.incarnation);
+  if (running == this->state.RunningOn().end()) return;
+  // Latency-critical tasks first, so that the interference of each neighbour is added to them.
+  std::vector<const StepSpec*> others;
+  for (const TaskRef& task : running->second) {
+    const StepSpec* spec = this->state.SpecOf(task.Step());
+    if (spec == nullptr) continue;
+    if (!spec->long_running && !spec->best_effort) capacity.short_cpu += spec->resources.cpu;
+    if (spec->latency_slo_ms <= 0) {
+      others.push_back(spec);
+      continue;
+    }
+    const auto run = view.runs.find(task);
+    this->AllocateLatencyCritical(capacity, *spec,
+                                  run == view.runs.end() ? kBaselinePrior : run->second.baseline);
+  }
+  for (const StepSpec* spec : others) this->Allocate(capacity, *spec);
+  capacity.has_planned_tasks = false;
+}
+
 void Planner::MeasureCapacities(base::TimePoint now) {
   this->capacities.clear();
   for (const auto& [id, target] : this->state.Targets()) {
     const TargetView* view = this->tracker.Find(id);
-    if (target.draining || view == nullptr || view->incarnation != target.incarnation ||
-        !this->tracker.IsUsable(*view, now)) {
-      continue;
+    if (view == nullptr || view->incarnation != target.incarnation) continue;
+    TargetCapacity& capacity = this->measured[id];
+    if (!this->IsUpToDate(now, target, *view, capacity)) {
+      this->MeasureCapacity(now, target, *view, capacity);
     }
-    TargetCapacity capacity;
-    capacity.target = &target;
-    capacity.free = target.capacity;
-    const auto running = this->state.RunningOn().find(target.incarnation);
-    if (running != this->state.RunningOn().end()) {
-      // Latency-critical tasks first, so that the interference of each neighbour is added to them.
-      std::vector<const StepSpec*> others;
-      for (const TaskRef& task : running->second) {
-        const StepSpec* spec = this->state.SpecOf(task.Step());
-        if (spec == nullptr) continue;
-        if (spec->latency_slo_ms <= 0) {
-          others.push_back(spec);
-          continue;
-        }
-        const auto run = view->runs.find(task);
-        this->AllocateLatencyCritical(
-            capacity, *spec, run == view->runs.end() ? kBaselinePrior : run->second.baseline);
-      }
-      for (const StepSpec* spec : others) this->Allocate(capacity, *spec);
+    capacity.is_reserved = false;
+    if (!target.draining && this->tracker.IsUsable(*view, now)) {
+      this->capacities.push_back(&capacity);
     }
-    this->capacities.push_back(std::move(capacity));
+  }
+  if (this->measured.size() > this->state.Targets().size()) {
+    std::erase_if(this->measured, [this](const auto& entry) {
+      return !this->state.Targets().contains(entry.first);
+    });
   }
 }
 
@@ -161,6 +204,7 @@
 }
 
 void Planner::Allocate(TargetCapacity& capacity, const StepSpec& spec) const {
+  capacity.has_planned_tasks = true;
   if (spec.latency_slo_ms > 0) return this->AllocateLatencyCritical(capacity, spec, kBaselinePrior);
   workload::Resources used = spec.resources;
   if (spec.best_effort) {
@@ -203,15 +247,11 @@
 void Planner::MeasureShortTaskDemand(base::TimePoint now) {
   this->free_cpu.clear();
   this->short_cpu.clear();
-  for (const TargetCapacity& capacity : this->capacities) {
-    this->free_cpu[capacity.target->service] += std::max<std::int64_t>(0, capacity.free.cpu);
+  for (const TargetCapacity* capacity : this->capacities) {
+    this->free_cpu[capacity->target->service] += std::max<std::int64_t>(0, capacity->free.cpu);
   }
-  for (const auto& [incarnation, tasks] : this->state.RunningOn()) {
-    for (const TaskRef& task : tasks) {
-      const StepSpec* spec = this->state.SpecOf(task.Step());
-      if (spec == nullptr || spec->long_running || spec->best_effort) continue;
-      this->short_cpu[this->state.FindJob(task.job)->service] += spec->resources.cpu;
-    }
+  for (const auto& [id, capacity] : this->measured) {
+    this->short_cpu[capacity.target->service] += capacity.short_cpu;
   }
   std::erase_if(this->long_running_waiting_since,
                 [&](const auto& entry) { return !this->state.Ready().contains(entry.first); });
@@ -237,10 +277,10 @@
 void Planner::ReserveTargetFor(const Job& job, const StepSpec& spec) {
   if (this->reserved_targets >= this->limits.max_reserved_targets) return;
   TargetCapacity* closest = nullptr;
-  for (TargetCapacity& capacity : this->capacities) {
-    if (capacity.is_reserved || capacity.target->service != job.service) continue;
-    if (!capacity.target->capacity.Covers(spec.resources)) continue;
-    if (closest == nullptr || capacity.free.cpu > closest->free.cpu) closest = &capacity;
+  for (TargetCapacity* capacity : this->capacities) {
+    if (capacity->is_reserved || capacity->target->service != job.service) continue;
+    if (!capacity->target->capacity.Covers(spec.resources)) continue;
+    if (closest == nullptr || capacity->free.cpu > closest->free.cpu) closest = capacity;
   }
   if (closest == nullptr) return;
   closest->is_reserved = true;
@@ -287,68 +327,109 @@
   return order;
 }
 
-Planner::TargetCapacity* Planner::ChooseTarget(const Job& job, const StepSpec& spec,
-                                               const Task& task, const std::string& rack,
-                                               const std::map<std::string, std::uint32_t>& used) {
-  workload::Resources wanted = spec.resources;
-  if (spec.best_effort) wanted.cpu = 0;
+std::optional<Planner::Score> Planner::ScoreOf(const TargetCapacity& capacity,
+                                               const Request& request, const Task& task,
+                                               const std::string& rack, const TaskCounts& used) {
+  this->effort.scored_targets += 1;
+  const StepSpec& spec = request.spec;
+  const TargetRecord& target = *capacity.target;
+  if (target.service != request.job.service || !capacity.free.Covers(request.needed)) return {};
+  if (capacity.is_reserved && !spec.long_running && !spec.best_effort) return {};
+  if (!rack.empty() && target.rack != rack) return {};
+  if (!spec.required_label.empty() &&
+      std::ranges::find(target.labels, spec.required_label) == target.labels.end()) {
+    return {};
+  }
+  const auto here = used.find(target.incarnation.id);
+  const std::uint32_t count = here == used.end() ? 0 : here->second;
+  if (spec.max_per_target > 0 && count >= spec.max_per_target) return {};
+  const double rate = spec.best_effort ? this->ExpectedRate(capacity, request) : 1.0;
+  if (spec.best_effort && rate < this->limits.min_rate) return {};
+  const int ran_here = HasRunBadly(spec, task) && task.target == target.incarnation ? 1 : 0;
+  const int far = !spec.data_rack.empty() && target.rack != spec.data_rack ? 1 : 0;
+  const int interference = spec.best_effort ? static_cast<int>((1.0 - rate) * kLevels)
+                                            : this->InterferenceLevel(capacity, request);
+  const std::int64_t unused = capacity.free.cpu - capacity.best_effort_cpu;
+  const std::int64_t colocation = spec.latency_slo_ms > 0 ? ColocationScore(capacity, spec) +
+                                                                2 * static_cast<std::int64_t>(count)
+                                                          : 0;
+  return Score{ran_here, far, interference, colocation, -unused};
+}
+
+Planner::TargetCapacity* Planner::ChooseTarget(const Request& request, const Task& task,
+                                               const std::string& rack, const TaskCounts& used) {
   TargetCapacity* best = nullptr;
-  std::tuple<int, int, int, std::int64_t, std::int64_t> best_score{};
-  for (TargetCapacity& capacity : this->capacities) {
-    const TargetRecord& target = *capacity.target;
-    if (target.service != job.service || !capacity.free.Covers(wanted)) continue;
-    if (capacity.is_reserved && !spec.long_running && !spec.best_effort) continue;
-    if (!rack.empty() && target.rack != rack) continue;
-    if (!spec.required_label.empty() &&
-        std::ranges::find(target.labels, spec.required_label) == target.labels.end()) {
-      continue;
-    }
-    const auto here = used.find(target.incarnation.id);
-    const std::uint32_t count = here == used.end() ? 0 : here->second;
-    if (spec.max_per_target > 0 && count >= spec.max_per_target) continue;
-    // Lower is better: not where it failed or stalled, near its data, little interference,
-    // colocation with its image, then the most unused processors.
-    const bool has_run = spec.long_running ? task.failures > 0 : task.run > 0;
-    const int ran_here = has_run && task.target == target.incarnation ? 1 : 0;
-    const int far = !spec.data_rack.empty() && target.rack != spec.data_rack ? 1 : 0;
-    if (spec.best_effort && this->ExpectedRate(capacity, spec) < this->limits.min_rate) continue;
-    const int interference = this->InterferenceLevel(capacity, spec);
-    const std::int64_t unused = capacity.free.cpu - capacity.best_effort_cpu;
-    const std::int64_t colocation =
-        spec.latency_slo_ms > 0
-            ? ColocationScore(capacity, spec) + 2 * static_cast<std::int64_t>(count)
-            : 0;
-    const std::tuple score{ran_here, far, interference, colocation, -unused};
-    if (best == nullptr || score < best_score) {
-      best = &capacity;
-      best_score = score;
-    }
+  Score best_score;
+  for (TargetCapacity* capacity : this->capacities) {
+    const auto score = this->ScoreOf(*capacity, request, task, rack, used);
+    if (!score || (best != nullptr && *score >= best_score)) continue;
+    best = capacity;
+    best_score = *score;
   }
   return best;
 }
 
+/// The targets on which tasks of one step can start, best first, for tasks that haven't run yet.
+/// Such tasks have the same score on a target, and a start changes only that of its own target.
+class Planner::CandidateQueue {
+ public:
+  CandidateQueue(Planner& owner, const Request& step_request, const TaskCounts& task_counts)
+      : planner(owner), request(step_request), used(task_counts) {
+    for (std::size_t i = 0; i < this->planner.capacities.size(); ++i) this->Add(i);
+    std::ranges::make_heap(this->heap, std::greater());
+  }
+
+  /// The best target, or null. Its score is due for Update after a start there.
+  [[nodiscard]] TargetCapacity* Best() const {
+    return this->heap.empty() ? nullptr : this->planner.capacities[this->heap.front().second];
+  }
+  /// Must be called after a start on the best target.
+  void Update() {
+    std::ranges::pop_heap(this->heap, std::greater());
+    const std::size_t index = this->heap.back().second;
+    this->heap.pop_back();
+    if (this->Add(index)) std::ranges::push_heap(this->heap, std::greater());
+  }
+
+ private:
+  bool Add(std::size_t index) {
+    const auto score = this->planner.ScoreOf(*this->planner.capacities[index], this->request,
+                                             Task(), "", this->used);
+    if (score) this->heap.emplace_back(*score, index);
+    return score.has_value();
+  }
+
+  Planner& planner;
+  const Request& request;
+  const TaskCounts& used;
+  /// With the index of the target, which decides between equal scores.
+  std::vector<std::pair<Score, std::size_t>> heap;
+};
+
 void Planner::PlanGang(const StepRef& ref, const StepSpec& spec, const Step& step,
                        std::vector<Start>& starts) {
   if (step.waiting != step.tasks.size()) return;
   const Job& job = *this->state.FindJob(ref.job);
   std::uint32_t run = 0;
   for (const Task& task : step.tasks) run = std::max(run, task.run);
+  const Request request = this->RequestOf(job, spec);
   // Single racks first; several (the empty name) only when none fits all members.
   std::set<std::string> known_racks;
   if (spec.same_rack) {
-    for (const TargetCapacity& entry : this->capacities) known_racks.insert(entry.target->rack);
+    for (const TargetCapacity* entry : this->capacities) known_racks.insert(entry->target->rack);
   }
   std::vector<std::string> racks;
   racks.reserve(known_racks.size() + 1);
   for (const std::string& rack : known_racks) racks.push_back(rack);
   racks.emplace_back();
   for (const std::string& rack : racks) {
-    const std::vector<TargetCapacity> saved = this->capacities;
+    std::vector<std::pair<TargetCapacity*, TargetCapacity>> saved;
     std::vector<Start> planned;
-    std::map<std::string, std::uint32_t> used;
+    TaskCounts used;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-      TargetCapacity* capacity = this->ChooseTarget(job, spec, step.tasks[i], rack, used);
+      TargetCapacity* capacity = this->ChooseTarget(request, step.tasks[i], rack, used);
       if (capacity == nullptr) break;
+      saved.emplace_back(capacity, *capacity);
       Allocate(*capacity, spec);
       used[capacity->target->incarnation.id] += 1;
       planned.push_back(
@@ -358,13 +439,13 @@
       starts.insert(starts.end(), planned.begin(), planned.end());
       return;
     }
-    this->capacities = saved;
+    // In reverse, so that the first copy of each target is the last one written.
+    for (auto& [capacity, before] : std::views::reverse(saved)) *capacity = std::move(before);
   }
 }
 
-std::map<std::string, std::uint32_t> Planner::RunningByTarget(const StepSpec& spec,
-                                                              const Step& step) {
-  std::map<std::string, std::uint32_t> running;
+Planner::TaskCounts Planner::RunningByTarget(const StepSpec& spec, const Step& step) {
+  TaskCounts running;
   if (spec.max_per_target == 0) return running;
   for (const Task& task : step.tasks) {
     if (task.phase == TaskPhase::kRunning) running[task.target.id] += 1;
@@ -379,7 +460,7 @@
   if (job == nullptr || step == nullptr || task == nullptr) return false;
   const StepSpec& spec = job->spec.steps[ref.step];
   TargetCapacity* capacity =
-      this->ChooseTarget(*job, spec, *task, "", RunningByTarget(spec, *step));
+      this->ChooseTarget(this->RequestOf(*job, spec), *task, "", RunningByTarget(spec, *step));
   if (capacity == nullptr || capacity->target->incarnation == task->target) return false;
   Allocate(*capacity, spec);
   return true;
@@ -393,12 +474,17 @@
     return;
   }
   const Job& job = *this->state.FindJob(ref.job);
-  std::map<std::string, std::uint32_t> used = RunningByTarget(spec, step);
+  if (this->IsKnownNotToFit(job, spec)) return;
+  const Request request = this->RequestOf(job, spec);
+  TaskCounts used = RunningByTarget(spec, step);
+  std::optional<CandidateQueue> candidates;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     const Task& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting) continue;
-    if (this->IsKnownNotToFit(job, spec)) return;
-    TargetCapacity* capacity = this->ChooseTarget(job, spec, task, "", used);
+    const bool is_first_try = !HasRunBadly(spec, task);
+    if (is_first_try && !candidates) candidates.emplace(*this, request, used);
+    TargetCapacity* capacity =
+        is_first_try ? candidates->Best() : this->ChooseTarget(request, task, "", used);
     if (capacity == nullptr) this->RecordFailedPlacement(job, spec);
     if (capacity == nullptr && spec.long_running && this->HasExceededDelay(now, ref)) {
       this->ReserveTargetFor(job, spec);
@@ -410,6 +496,11 @@
     if (!spec.best_effort) this->free_cpu[job.service] -= spec.resources.cpu;
     if (!spec.best_effort && !spec.long_running) this->short_cpu[job.service] += spec.resources.cpu;
     used[capacity->target->incarnation.id] += 1;
+    if (is_first_try) {
+      candidates->Update();
+    } else {
+      candidates.reset();
+    }
     starts.push_back(
         {{ref.job, ref.occurrence, ref.step, i}, task.run + 1, capacity->target->incarnation});
   }
@@ -433,9 +524,9 @@
   }
   backlog.usable_targets = this->capacities.size();
   backlog.reserved_targets = this->reserved_targets;
-  for (const TargetCapacity& capacity : this->capacities) {
-    backlog.free_cpu += std::max<std::int64_t>(0, capacity.free.cpu);
-    backlog.largest_free_cpu = std::max(backlog.largest_free_cpu, capacity.free.cpu);
+  for (const TargetCapacity* capacity : this->capacities) {
+    backlog.free_cpu += std::max<std::int64_t>(0, capacity->free.cpu);
+    backlog.largest_free_cpu = std::max(backlog.largest_free_cpu, capacity->free.cpu);
   }
   return backlog;
 }
@@ -443,6 +534,7 @@
 std::vector<Start> Planner::Plan(base::TimePoint now, std::int64_t time_of_day_ms) {
   std::vector<Start> starts;
   if (this->state.Ready().empty()) return starts;
+  this->effort.rounds += 1;
   this->MeasureCapacities(now);
   this->MeasureShortTaskDemand(now);
   this->reserved_targets = 0;
--- a/src/libs/dispatch/planner.h
+++ b/src/libs/dispatch/planner.h
@@ -7,8 +7,10 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <tuple>
+#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -61,7 +63,17 @@
   std::int64_t largest_free_cpu = 0;
 };
 
-/// Plans in rounds, each over a fixed state.
+/// How much the rounds so far had to look at; for logs and tests.
+struct PlanningEffort {
+  std::uint64_t rounds = 0;
+  /// Targets whose free capacity was derived from the tasks that run there.
+  std::uint64_t measured_targets = 0;
+  /// Targets that were scored for a task or a step.
+  std::uint64_t scored_targets = 0;
+};
+
+/// Plans in rounds, each over a fixed state. The capacity of a target is kept between rounds until
+/// its tasks change, so that a round costs as much as the changes since the last one.
 class Planner {
  public:
   Planner(const workload::WorkloadState& workload_state, TargetTracker& target_tracker,
@@ -72,6 +84,7 @@
   /// times.
   std::vector<workload::Start> Plan(base::TimePoint now, std::int64_t time_of_day_ms);
 
+  [[nodiscard]] const PlanningEffort& Effort() const { return this->effort; }
   /// As of the last plan; the tasks that it starts don't wait.
   [[nodiscard]] Backlog MeasureBacklog() const;
   /// Begins a round of AllocateElsewhere over the current state.
@@ -94,7 +107,7 @@
     double share = 0;       ///< of the target's processors
   };
 
-  /// Free resources of a target as of the last plan, for logs and tests.
+  /// Free resources of a target.
   struct TargetCapacity {
     const workload::TargetRecord* target = nullptr;
     workload::Resources free;
@@ -104,22 +117,51 @@
     std::vector<Neighbour> neighbours;
     /// No short task starts there, so that enough capacity for a long-running task becomes free.
     bool is_reserved = false;
+    /// Thousandths of a core requested by short tasks that aren't best-effort.
+    std::int64_t short_cpu = 0;
+    /// What the values above were derived from; see IsUpToDate.
+    std::uint64_t state_change = 0;
+    std::uint64_t baseline_changes = 0;
+    base::TimePoint measured_at;
+    /// This round has allocated resources here, which the state doesn't contain yet.
+    bool has_planned_tasks = false;
   };
-  [[nodiscard]] const std::vector<TargetCapacity>& Capacities() const { return this->capacities; }
 
  private:
+  /// What all tasks of a step have in common, looked up once.
+  struct Request {
+    const workload::Job& job;
+    const workload::StepSpec& spec;
+    workload::Resources needed;
+    std::size_t image_index = 0;
+    const InterferenceModel::Regression* regression = nullptr;
+  };
+  /// Lower is better: not where it failed or stalled, near its data, little interference,
+  /// colocation with its image, then the most unused processors.
+  using Score = std::tuple<int, int, int, std::int64_t, std::int64_t>;
+  /// Tasks of a step by the target they run on.
+  using TaskCounts = std::map<std::string, std::uint32_t>;
+  class CandidateQueue;
+
   void MeasureCapacities(base::TimePoint now);
+  bool IsUpToDate(base::TimePoint now, const workload::TargetRecord& target, const TargetView& view,
+                  const TargetCapacity& capacity) const;
+  void MeasureCapacity(base::TimePoint now, const workload::TargetRecord& target,
+                       const TargetView& view, TargetCapacity& capacity);
+  Request RequestOf(const workload::Job& job, const workload::StepSpec& spec) const;
   std::vector<workload::StepRef> OrderSteps(base::TimePoint now, std::int64_t time_of_day_ms) const;
   void PlanStep(base::TimePoint now, const workload::StepRef& ref,
                 std::vector<workload::Start>& starts);
   void PlanGang(const workload::StepRef& ref, const workload::StepSpec& spec,
                 const workload::Step& step, std::vector<workload::Start>& starts);
-  TargetCapacity* ChooseTarget(const workload::Job& job, const workload::StepSpec& spec,
+  /// Nothing when the task can't start there. `rack` is empty when any will do.
+  std::optional<Score> ScoreOf(const TargetCapacity& capacity, const Request& request,
                                const workload::Task& task, const std::string& rack,
-                               const std::map<std::string, std::uint32_t>& used);
-  /// Tasks of the step that run now, by target; only counted where the step limits them.
-  static std::map<std::string, std::uint32_t> RunningByTarget(const workload::StepSpec& spec,
-                                                              const workload::Step& step);
+                               const TaskCounts& used);
+  TargetCapacity* ChooseTarget(const Request& request, const workload::Task& task,
+                               const std::string& rack, const TaskCounts& used);
+  /// Tasks of the step that run now; only counted where the step limits them.
+  static TaskCounts RunningByTarget(const workload::StepSpec& spec, const workload::Step& step);
   void Allocate(TargetCapacity& capacity, const workload::StepSpec& spec) const;
   void AllocateLatencyCritical(TargetCapacity& capacity, const workload::StepSpec& spec,
                                double baseline) const;
@@ -128,7 +170,7 @@
   bool IsKnownNotToFit(const workload::Job& job, const workload::StepSpec& spec) const;
   void RecordFailedPlacement(const workload::Job& job, const workload::StepSpec& spec);
   /// Rate that a best-effort task would get on the target, 0 to 1.
-  double ExpectedRate(const TargetCapacity& capacity, const workload::StepSpec& spec) const;
+  double ExpectedRate(const TargetCapacity& capacity, const Request& request) const;
   void MeasureShortTaskDemand(base::TimePoint now);
   /// True when a long-running step has had waiting tasks for `long_running_delay`.
   bool HasExceededDelay(base::TimePoint now, const workload::StepRef& ref) const;
@@ -139,14 +181,18 @@
                            const workload::Job& job, const workload::StepSpec& spec) const;
   static std::int64_t ColocationScore(const TargetCapacity& capacity,
                                       const workload::StepSpec& spec);
-  /// How much the task would interfere, or suffer from interference, on the target, in coarse
-  /// levels; 0: not at all.
-  int InterferenceLevel(const TargetCapacity& capacity, const workload::StepSpec& spec) const;
+  /// How much the task would suffer from interference on the target, in coarse levels; 0: not at
+  /// all.
+  int InterferenceLevel(const TargetCapacity& capacity, const Request& request) const;
 
   const workload::WorkloadState& state;
   TargetTracker& tracker;
   PlanLimits limits;
-  std::vector<TargetCapacity> capacities;
+  /// By target, of all registered targets that the tracker knows.
+  std::unordered_map<std::string, TargetCapacity> measured;
+  /// The usable ones of this round, by name.
+  std::vector<TargetCapacity*> capacities;
+  PlanningEffort effort;
   ShortTaskDemand short_task_demand;
   std::size_t reserved_targets = 0;
   /// Smallest requests that found no target in this round, by their other requirements.
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -78,7 +78,7 @@
   std::optional<base::TimePoint> throttled_since;
   /// The run is being stopped so that its task continues on another target.
   bool is_migrating = false;
-  /// See LatencyCriticalTask.
+  /// See LatencyCriticalTask. Changes are counted in TargetView::baseline_changes.
   double baseline = LatencyCriticalTask::kUnknownBaseline;
   std::optional<base::TimePoint> violating_since;
   /// When a stop was sent, if any.
@@ -116,6 +116,8 @@
   bool has_pending_requests = true;
   /// Best-effort tasks run beside latency-critical ones near their SLO, or are throttled for them.
   bool is_near_slo = false;
+  /// Incremented after each change of a run's baseline.
+  std::uint64_t baseline_changes = 0;
   std::map<TaskRef, RunView> runs;
 };
 
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -87,7 +87,10 @@
     }
   }
   std::erase_if(this->targets, [&](const auto& entry) {
-    return entry.second.address == added.address && entry.first != added.incarnation.id;
+    const bool is_replaced =
+        entry.second.address == added.address && entry.first != added.incarnation.id;
+    if (is_replaced) this->target_changes.erase(entry.first);
+    return is_replaced;
   });
   TargetRecord& record = this->targets[added.incarnation.id];
   const bool is_same = record.incarnation == added.incarnation;
@@ -96,6 +99,7 @@
   record = added;
   record.acknowledged = acknowledged;
   record.draining = draining;
+  this->NoteChangeOf(added.incarnation.id);
   return Outcome::kApplied;
 }
 
@@ -105,6 +109,7 @@
     return Outcome::kNotFound;
   }
   this->targets.erase(found);
+  this->target_changes.erase(command.incarnation.id);
   return Outcome::kApplied;
 }
 
@@ -145,12 +150,14 @@
   step->waiting -= 1;
   step->running += 1;
   this->running_on[start.target].insert(start.task);
+  this->NoteChangeOf(start.target.id);
   job->state = JobState::kRunning;
   this->UpdateReady(*job, start.task.occurrence, start.task.step);
 }
 
 void WorkloadState::StopRunning(const TaskRef& ref, Task& task, Step& step) {
   if (task.phase != TaskPhase::kRunning) return;
+  this->NoteChangeOf(task.target.id);
   const auto running = this->running_on.find(task.target);
   if (running != this->running_on.end()) {
     running->second.erase(ref);
@@ -317,6 +324,16 @@
   return step == nullptr || ref.index >= step->tasks.size() ? nullptr : &step->tasks[ref.index];
 }
 
+std::uint64_t WorkloadState::LastChangeOf(const std::string& target_id) const {
+  const auto found = this->target_changes.find(target_id);
+  return found == this->target_changes.end() ? 0 : found->second;
+}
+
+void WorkloadState::NoteChangeOf(const std::string& target_id) {
+  if (!this->targets.contains(target_id)) return;
+  this->target_changes[target_id] = ++this->last_target_change;
+}
+
 std::size_t WorkloadState::Pending(const std::string& queue) const {
   return static_cast<std::size_t>(std::ranges::count_if(this->jobs, [&](const auto& entry) {
     return entry.second.queue == queue && entry.second.state == JobState::kQueued &&
@@ -354,6 +371,8 @@
 }
 
 void WorkloadState::RebuildIndexes() {
+  this->target_changes.clear();
+  for (const auto& [id, target] : this->targets) this->NoteChangeOf(id);
   this->ready.clear();
   this->running_on.clear();
   this->scheduled_jobs.clear();
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -44,6 +44,9 @@
   [[nodiscard]] const std::map<TargetIncarnation, std::set<TaskRef>>& RunningOn() const {
     return this->running_on;
   }
+  /// Number of the last change of a registered target's record or of the tasks that run on it, so
+  /// that results derived from them can be kept. Numbers differ between replicas.
+  [[nodiscard]] std::uint64_t LastChangeOf(const std::string& target_id) const;
   /// Periodic jobs with occurrences that aren't due yet.
   [[nodiscard]] const std::set<JobId>& ScheduledJobs() const { return this->scheduled_jobs; }
   /// Number of accepted non-periodic jobs of a queue of which no task has started.
@@ -67,6 +70,7 @@
   void ReleaseEndedOccurrences(Job& job);
   void UpdateReady(const Job& job, std::uint32_t occurrence, std::uint32_t step);
   void StopRunning(const TaskRef& ref, Task& task, Step& step);
+  void NoteChangeOf(const std::string& target_id);
   void RemoveExpiredJobs(std::int64_t at_ms);
   void RebuildIndexes();
   Task* Find(const TaskRef& ref, Step** step, Job** job);
@@ -80,6 +84,8 @@
   std::set<StepRef> ready;
   std::map<TargetIncarnation, std::set<TaskRef>> running_on;
   std::set<JobId> scheduled_jobs;
+  std::unordered_map<std::string, std::uint64_t> target_changes;
+  std::uint64_t last_target_change = 0;
 };
 
 }  // namespace mangoroad::workload
--- a/tests/auto/dispatch/tst_planner.cc
+++ b/tests/auto/dispatch/tst_planner.cc
@@ -115,6 +115,85 @@
   CHECK(fleet.Round().empty());
 }
 
+// Guards against rounds that measure the whole fleet and score all of it for each single start, so
+// that the leader of 490 targets with 900 starts a second spends its processor on planning.
+TEST_CASE("the effort of a round follows the changes, not the size of the fleet") {
+  constexpr int kTargets = 490;
+  Fleet fleet(kTargets);
+  fleet.Submit("filling", 2, BestEffort(1, 1'000));
+  fleet.Submit("serving", 0, LongRunning(100, 4'000));
+  fleet.Round();
+  fleet.Submit("wide", 0, Plain(57, 3'000));
+  const PlanningEffort before_wide = fleet.planner.Effort();
+  const auto wide = fleet.Round();
+  REQUIRE(wide.size() == 57);
+  const PlanningEffort after_wide = fleet.planner.Effort();
+  CHECK(after_wide.measured_targets - before_wide.measured_targets <= 101);
+  CHECK(after_wide.scored_targets - before_wide.scored_targets <= kTargets + 57);
+
+  fleet.now_ms += 30;
+  fleet.End(wide.front(), workload::RunEnd::kDone);
+  fleet.Submit("next", 0, Plain(1, 3'000));
+  REQUIRE(fleet.Round().size() == 1);
+  const PlanningEffort after_next = fleet.planner.Effort();
+  CHECK(after_next.measured_targets - after_wide.measured_targets <= 57);
+
+  fleet.now_ms += 30;
+  fleet.Submit("last", 0, Plain(1, 3'000));
+  REQUIRE(fleet.Round().size() == 1);
+  CHECK(fleet.planner.Effort().measured_targets - after_next.measured_targets == 1);
+}
+
+// Guards against capacities that are kept although the tasks on the target have changed.
+TEST_CASE("a round sees ends, cancellations, drains and new targets since the last one") {
+  Fleet fleet(2);
+  fleet.Submit("a", 0, Plain(8, 4'000));
+  const auto starts = fleet.Round();
+  REQUIRE(starts.size() == 8);
+  fleet.Submit("b", 0, Plain(3, 4'000));
+  CHECK(fleet.Round().empty());
+  SECTION("an end") {
+    fleet.End(starts.front(), workload::RunEnd::kDone);
+    const auto next = fleet.Round();
+    REQUIRE(next.size() == 1);
+    CHECK(next.front().target == starts.front().target);
+  }
+  SECTION("a cancellation, once the runs have ended") {
+    fleet.state.Apply(workload::Cancel{"a", 0});
+    CHECK(fleet.Round().empty());
+    for (const Start& start : starts) fleet.End(start, workload::RunEnd::kStopped);
+    CHECK(fleet.Round().size() == 3);
+  }
+  SECTION("a target that drains") {
+    workload::TargetRecord record = fleet.state.Targets().at("t0");
+    record.draining = true;
+    fleet.state.Apply(workload::RegisterTarget{record});
+    for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
+    for (const Start& start : fleet.Round()) CHECK(start.target.id == "t1");
+  }
+  SECTION("another incarnation") {
+    workload::TargetRecord record = fleet.state.Targets().at("t0");
+    record.incarnation.number = 2;
+    fleet.state.Apply(workload::RegisterTarget{record});
+    TargetView& view = fleet.tracker.FindOrCreate(record.incarnation);
+    view.is_fenced = true;
+    view.last_contact = At(fleet.now_ms);
+    const auto next = fleet.Round();
+    REQUIRE(next.size() == 3);
+    for (const Start& start : next) CHECK(start.target == record.incarnation);
+  }
+  SECTION("a target that left") {
+    fleet.state.Apply(workload::RemoveTarget{{"t0", 1}});
+    for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
+    for (const Start& start : fleet.Round()) CHECK(start.target.id == "t1");
+  }
+  SECTION("planned starts that were never logged") {
+    for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
+    CHECK(fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms).size() == 3);
+    CHECK(fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms).size() == 3);
+  }
+}
+
 // Load: work of a low priority is queued when urgent work arrives.
 TEST_CASE("urgent queues come first") {
   Fleet fleet(1);
@@ -208,6 +287,7 @@
   CHECK(fleet.Round().empty());
   for (auto& [id, view] : fleet.tracker.All()) {
     for (auto& [task, run] : view.runs) run.baseline = -2.0;
+    view.baseline_changes += 1;
   }
   CHECK_FALSE(fleet.Round().empty());
 }
