Check only the targets that have changed, and plan when something has changed

Cause (second part): each response of a target, about 2,000 a second, led to a check of all 490 targets for due requests and polls, and to a plan of the whole backlog when no proposal was in flight. The same class: work for one change that grows with the size of the fleet. Fix: events name the target at which something may be due; what becomes due by time alone is found by the tick each 50 ms. A plan is made after a change of the replicated state and by the tick, since until then it would find the same.

--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -78,6 +78,7 @@
   base::TimePoint leader_timer_due;
   base::Duration max_loop_delay{};
   base::Duration logged_processor_time{};
+  dispatch::PlanningEffort logged_effort;
   base::TimePoint next_load_log_at;
   net::PostScope posts{this->loop};
   net::Timer leader_timer;
@@ -180,6 +181,8 @@
   const base::Duration processor_time = this->loop.ProcessorTime();
   const base::Duration used =
       processor_time - std::exchange(this->logged_processor_time, processor_time);
+  const dispatch::PlanningEffort plans = this->run_manager.Effort();
+  const dispatch::PlanningEffort before = std::exchange(this->logged_effort, plans);
   if (!this->run_manager.IsLeading()) return;
   const auto of = [&](metrics::Activity activity) {
     return totals[static_cast<std::size_t>(activity)];
@@ -192,7 +195,9 @@
             {{"loop_delay_ms", base::ToMilliseconds(delay)},
              {"processor_ms", base::ToMilliseconds(used)},
              {"plan_ms", ms(Activity::kPlan)},
-             {"plans", of(Activity::kPlan).calls},
+             {"plans", plans.rounds - before.rounds},
+             {"measured_targets", plans.measured_targets - before.measured_targets},
+             {"scored_targets", plans.scored_targets - before.scored_targets},
              {"polls_ms", ms(Activity::kPolls)},
              {"requests_ms", ms(Activity::kRequests)},
              {"responses_ms", ms(Activity::kResponses)},
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -50,6 +50,8 @@
   for (const auto& [target, tasks] : this->state.RunningOn()) {
     if (this->RecordOf(target) == nullptr) this->unregistered.emplace(target, now);
   }
+  for (const auto& [id, view] : this->targets.All()) this->MarkChanged(id);
+  this->plan_due = true;
   this->context.RequestAdvance();
 }
 
@@ -61,6 +63,7 @@
   this->ends.clear();
   this->concluded.clear();
   this->orphans.clear();
+  this->changed_targets.clear();
   this->proposal_in_flight = false;
 }
 
@@ -109,18 +112,16 @@
          is_unresponsive;
 }
 
-void RunManager::SendPolls(base::TimePoint now) {
+void RunManager::SendPollIfDue(base::TimePoint now, TargetView& view) {
+  const dispatch::PollState& poll = view.poll;
+  if (poll.in_flight || now < poll.next_at) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPolls);
-  for (auto& [id, view] : this->targets.All()) {
-    const dispatch::PollState& poll = view.poll;
-    if (poll.in_flight || now < poll.next_at) continue;
-    const TargetRecord* record = this->RecordOf(view.incarnation);
-    if (record == nullptr) continue;
-    // Listed ends are committed and acknowledged first, otherwise the target would respond at once.
-    const bool awaits_commit = poll.listed > record->acknowledged;
-    if (awaits_commit || !this->NeedsPoll(now, view, *record)) continue;
-    this->SendPoll(now, view, *record);
-  }
+  const TargetRecord* record = this->RecordOf(view.incarnation);
+  if (record == nullptr) return;
+  // Listed ends are committed and acknowledged first, otherwise the target would respond at once.
+  const bool awaits_commit = poll.listed > record->acknowledged;
+  if (awaits_commit || !this->NeedsPoll(now, view, *record)) return;
+  this->SendPoll(now, view, *record);
 }
 
 void RunManager::SendPoll(base::TimePoint now, TargetView& view, const TargetRecord& record) {
@@ -150,6 +151,7 @@
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
   TargetView* view = this->targets.Find(target.id);
   if (view == nullptr || view->incarnation != target) return;
+  this->MarkChanged(target.id);
   dispatch::PollState& poll = view->poll;
   poll.in_flight = false;
   switch (response.status) {
@@ -256,12 +258,27 @@
   }
 }
 
-void RunManager::SendRequests(base::TimePoint now) {
+void RunManager::SendDueRequests(base::TimePoint now, TargetView& view) {
+  this->target_checks += 1;
+  if (!view.is_fenced || !view.has_pending_requests) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kRequests);
+  view.has_pending_requests = this->SendRequestsTo(now, view);
+}
+
+void RunManager::SendToChangedTargets(base::TimePoint now) {
+  for (const std::string& id : std::exchange(this->changed_targets, {})) {
+    TargetView* view = this->targets.Find(id);
+    if (view == nullptr) continue;
+    this->SendDueRequests(now, *view);
+    this->SendPollIfDue(now, *view);
+  }
+}
+
+void RunManager::SendToAllTargets(base::TimePoint now) {
+  this->changed_targets.clear();
   for (auto& [id, view] : this->targets.All()) {
-    if (view.is_fenced && view.has_pending_requests) {
-      view.has_pending_requests = this->SendRequestsTo(now, view);
-    }
+    this->SendDueRequests(now, view);
+    this->SendPollIfDue(now, view);
   }
 }
 
@@ -294,6 +311,7 @@
         if (task.phase != TaskPhase::kRunning) continue;
         if (TargetView* view = this->targets.Find(task.target.id)) {
           view->has_pending_requests = true;
+          this->MarkChanged(task.target.id);
         }
       }
     }
@@ -343,6 +361,7 @@
   if (found == view->runs.end() || found->second.run != run_number) return;
   RunView& run = found->second;
   view->has_pending_requests = true;
+  this->MarkChanged(target.id);
   if (run.start_request == StartRequestState::kConfirmed) return;
   switch (response.status) {
     case CallStatus::kDone:
@@ -470,8 +489,10 @@
   changes.at_ms = time_of_day_ms;
   changes.ends = std::exchange(this->ends, {});
   changes.due_occurrences = this->DueOccurrences(time_of_day_ms);
-  changes.starts = this->planner.Plan(now, time_of_day_ms);
-  if (changes.starts.empty()) this->LogBacklog(now);
+  if (std::exchange(this->plan_due, false)) {
+    changes.starts = this->planner.Plan(now, time_of_day_ms);
+    if (changes.starts.empty()) this->LogBacklog(now);
+  }
   if (changes.ends.empty() && changes.due_occurrences.empty() && changes.starts.empty()) return;
   this->proposal_in_flight = true;
   const std::uint64_t sent_generation = this->generation;
@@ -480,8 +501,12 @@
     this->proposal_in_flight = false;
     if (!applied) {
       // The ends are still listed by the targets, or will be concluded again.
-      for (auto& [id, view] : this->targets.All()) view.poll.listed = 0;
+      for (auto& [id, view] : this->targets.All()) {
+        view.poll.listed = 0;
+        this->MarkChanged(id);
+      }
       this->concluded.clear();
+      this->plan_due = true;
     }
     this->context.RequestAdvance();
   });
@@ -490,19 +515,21 @@
 void RunManager::Advance(base::TimePoint now) {
   if (!this->leading) return;
   this->ProposeChanges(now);
-  this->SendRequests(now);
-  this->SendPolls(now);
+  this->SendToChangedTargets(now);
 }
 
 void RunManager::Tick(base::TimePoint now) {
   if (!this->leading) return;
   this->CheckLeases(now);
   this->MigrateRuns(now);
-  this->Advance(now);
+  this->plan_due = true;
+  this->ProposeChanges(now);
+  this->SendToAllTargets(now);
 }
 
 void RunManager::OnApplied(base::TimePoint now, const workload::Command& command) {
   if (!this->leading) return;
+  this->plan_due = true;
   if (const auto* cancel = std::get_if<workload::Cancel>(&command)) this->StopRunsOf(cancel->id);
   const auto* changes = std::get_if<workload::RunChanges>(&command);
   if (changes == nullptr) {
@@ -521,6 +548,7 @@
                {"number", end.number}});
     if (end.how == RunEnd::kFailed) this->StopRunsOf(end.task.job);
     if (view == nullptr || view->incarnation != end.target) continue;
+    this->MarkChanged(end.target.id);
     this->targets.OnRunEnded(*view, end.how, now);
     const auto run = view->runs.find(end.task);
     if (run != view->runs.end() && run->second.run == end.run) view->runs.erase(run);
@@ -535,6 +563,7 @@
     run.requested_at = now;
     view.runs[start.task] = run;
     view.has_pending_requests = true;
+    this->MarkChanged(start.target.id);
   }
   this->Advance(now);
 }
@@ -566,6 +595,7 @@
       TargetView& view = this->targets.FindOrCreate(announcement.target.incarnation);
       view.last_contact = applied_at;
       if (announcement.clock) view.lease.OnClock(applied_at, *announcement.clock);
+      this->MarkChanged(announcement.target.incarnation.id);
       this->context.RequestAdvance();
     }
     done(applied);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -102,6 +102,9 @@
              const OnAnnounced& done);
 
   [[nodiscard]] dispatch::TargetTracker& Targets() { return this->targets; }
+  [[nodiscard]] const dispatch::PlanningEffort& Effort() const { return this->planner.Effort(); }
+  /// How often a target was checked for due requests and polls.
+  [[nodiscard]] std::uint64_t TargetChecks() const { return this->target_checks; }
 
  private:
   [[nodiscard]] const workload::TargetRecord* RecordOf(
@@ -110,7 +113,8 @@
   void AdoptRuns(dispatch::TargetView& view);
   bool NeedsPoll(base::TimePoint now, const dispatch::TargetView& view,
                  const workload::TargetRecord& record) const;
-  void SendPolls(base::TimePoint now);
+  /// Sends a poll to a target when one is due.
+  void SendPollIfDue(base::TimePoint now, dispatch::TargetView& view);
   void SendPoll(base::TimePoint now, dispatch::TargetView& view,
                 const workload::TargetRecord& record);
   void OnPollResponse(base::TimePoint now, const workload::TargetIncarnation& target,
@@ -120,7 +124,13 @@
                   const dispatch::TargetLists& lists);
   void ApplyRunning(base::TimePoint now, dispatch::TargetView& view,
                     const dispatch::RunningRow& row);
-  void SendRequests(base::TimePoint now);
+  /// Requests or a poll may have become due at this target.
+  void MarkChanged(const std::string& target_id) { this->changed_targets.insert(target_id); }
+  /// Sends what is due at the targets that have changed.
+  void SendToChangedTargets(base::TimePoint now);
+  /// Sends what has become due by time alone.
+  void SendToAllTargets(base::TimePoint now);
+  void SendDueRequests(base::TimePoint now, dispatch::TargetView& view);
   /// Sends the requests that are due at one target; true when more will be due there.
   bool SendRequestsTo(base::TimePoint now, dispatch::TargetView& view);
   /// Requests stops for the remaining runs of a job in a final state.
@@ -173,6 +183,12 @@
   /// stop request.
   std::map<std::pair<workload::TaskRef, std::uint32_t>, base::TimePoint> orphans;
   bool proposal_in_flight = false;
+  /// Targets at which something may be due since the last Advance.
+  std::set<std::string> changed_targets;
+  /// The replicated state has changed since the last plan, or some time has passed. Until then
+  /// another plan would find the same.
+  bool plan_due = true;
+  std::uint64_t target_checks = 0;
   base::TimePoint next_migration_at;
   base::TimePoint next_backlog_log_at;
 };
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -201,6 +201,7 @@
 
 void FakeTargets::Poll(const TargetEndpoint& to, const PollRequest& request,
                        OnPollResponse on_response) {
+  this->polls += 1;
   auto response = std::make_shared<PollResponse>();
   this->Deliver(
       to,
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -94,6 +94,7 @@
   std::vector<std::string> violations;
   std::set<workload::TaskRef> done;
   int starts = 0;
+  std::uint64_t polls = 0;
 
  private:
   using Handler = std::function<CallResponse(FakeTarget&)>;
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -306,6 +306,40 @@
   for (const auto& [id, target] : simulation.targets.All()) CHECK(target.running.empty());
 }
 
+// Guards against a leader that checks its whole fleet after each response, so that its load grows
+// with the square of the fleet.
+TEST_CASE("a response leads to checks of its own target only") {
+  constexpr int kTargets = 60;
+  Simulation simulation(1, kTargets);
+  simulation.targets.run_ms = 60'000;
+  simulation.RunFor(1'000);
+  simulation.Submit("0000000000000001", kTargets);
+  simulation.RunFor(500);
+  const RunManager& manager = simulation.leaders.back()->run_manager;
+  const std::uint64_t checks = manager.TargetChecks();
+  const std::uint64_t polls = simulation.targets.polls;
+  simulation.RunFor(2'000);
+  constexpr std::uint64_t kTicks = 2'000 / 50;
+  const std::uint64_t new_polls = simulation.targets.polls - polls;
+  CHECK(new_polls > kTargets);
+  CHECK(manager.TargetChecks() - checks <= (kTicks + 1) * kTargets + new_polls + kTargets);
+}
+
+// Guards against a plan of the whole backlog at each response while nothing has changed.
+TEST_CASE("waiting tasks are planned again when something has changed") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 60'000;
+  simulation.RunFor(1'000);
+  simulation.Submit("0000000000000001", 40);
+  simulation.RunFor(500);
+  REQUIRE(simulation.targets.starts == 16);
+  const RunManager& manager = simulation.leaders.back()->run_manager;
+  const std::uint64_t rounds = manager.Effort().rounds;
+  simulation.RunFor(2'000);
+  constexpr std::uint64_t kTicks = 2'000 / 50;
+  CHECK(manager.Effort().rounds - rounds <= kTicks + 1);
+}
+
 // Guards against acknowledging a drain before the scheduler knows of it.
 TEST_CASE("a drain is acknowledged once it is in the replicated state") {
   Simulation simulation(1, 2);
