--- a/tests/auto/entry/tst_log_service.cc
+++ b/tests/auto/entry/tst_log_service.cc
@@ -99,7 +99,8 @@
     options.first_configuration = consensus::WithVoter({}, "a");
     options.folder = this->folder.Path() + "/log";
     options.incarnation = 1;
-    REQUIRE(base::Ok(this->log.Open(std::move(options))));
+    const auto opened = this->log.Open(std::move(options));
+    REQUIRE(base::Ok(opened));
     this->RunUntil([this] { return this->log.MayLead(); });
   }
 
@@ -119,7 +120,7 @@
   SlowDisk disk;
   EchoState state;
   LogService log{this->loop, this->disk, this->state,
-                 [](const consensus::ReplicaId&, std::string) {}};
+                 [](const consensus::ReplicaId&, const std::string&) {}};
 };
 
 // Guards against a loop that stands still during each sync, so that heartbeats, leases and requests
