Drop the capacities of targets that have left before they are read

Cause: dropped kept capacities only when there were more of them than registered targets. When one target left and another one registered that the leader hadn't heard yet, the capacity of the first stayed and its record was read after it was freed. Evidence: the new section of the planner's test, built with the asan preset, ends in heap-use-after-free with the former condition and passes with this one. Fix: everything that isn't a registered target with a view of its incarnation is dropped in the same round.

--- a/src/libs/dispatch/planner.cc
+++ b/src/libs/dispatch/planner.cc
@@ -166,9 +166,11 @@
 
 void Planner::MeasureCapacities(base::TimePoint now) {
   this->capacities.clear();
+  std::size_t known = 0;
   for (const auto& [id, target] : this->state.Targets()) {
     const TargetView* view = this->tracker.Find(id);
     if (view == nullptr || view->incarnation != target.incarnation) continue;
+    known += 1;
     TargetCapacity& capacity = this->measured[id];
     if (!this->IsUpToDate(now, target, *view, capacity)) {
       this->MeasureCapacity(now, target, *view, capacity);
@@ -178,11 +180,14 @@
       this->capacities.push_back(&capacity);
     }
   }
-  if (this->measured.size() > this->state.Targets().size()) {
-    std::erase_if(this->measured, [this](const auto& entry) {
-      return !this->state.Targets().contains(entry.first);
-    });
-  }
+  if (this->measured.size() == known) return;
+  // The records of targets that have left no longer exist.
+  std::erase_if(this->measured, [this](const auto& entry) {
+    const auto target = this->state.Targets().find(entry.first);
+    const TargetView* view = this->tracker.Find(entry.first);
+    return target == this->state.Targets().end() || view == nullptr ||
+           view->incarnation != target->second.incarnation;
+  });
 }
 
 void Planner::AllocateLatencyCritical(TargetCapacity& capacity, const StepSpec& spec,
--- a/tests/auto/dispatch/tst_planner.cc
+++ b/tests/auto/dispatch/tst_planner.cc
@@ -187,6 +187,18 @@
     for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
     for (const Start& start : fleet.Round()) CHECK(start.target.id == "t1");
   }
+  SECTION("a target that left while another one registers") {
+    // The records of targets that have left must not be read; the asan preset reports it.
+    workload::TargetRecord record = fleet.state.Targets().at("t0");
+    record.incarnation = {"t9", 1};
+    record.address = "10.0.0.9:80";
+    fleet.state.Apply(workload::RemoveTarget{{"t0", 1}});
+    fleet.state.Apply(workload::RegisterTarget{record});
+    for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
+    const auto next = fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms);
+    REQUIRE(next.size() == 3);
+    for (const Start& start : next) CHECK(start.target.id == "t1");
+  }
   SECTION("planned starts that were never logged") {
     for (const Start& start : starts) fleet.End(start, workload::RunEnd::kDone);
     CHECK(fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms).size() == 3);
