--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,16 +1,16 @@
 #!/usr/bin/env bash
-# Builds and runs the benchmarks: scripts/bench.sh [routing|placement|state|capacity ...], all without an argument.
+# Builds and runs the benchmarks: scripts/bench.sh [routing|placement|state|leader|capacity ...], all without an argument.
 # Each prints a readable table with ratios to its baselines and writes build/bench/<name>.json.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-dependencies.sh
 names=("$@")
-[ "${#names[@]}" -gt 0 ] || names=(routing placement state capacity)
+[ "${#names[@]}" -gt 0 ] || names=(routing placement state leader capacity)
 cmake --preset release >/dev/null
 mkdir -p build/bench
 for name in "${names[@]}"; do
   if [ ! -d "bench/$name" ]; then
-    echo "bench: unknown part '$name'; parts are routing, placement, state and capacity" >&2
+    echo "bench: unknown part '$name'; parts are routing, placement, state, leader and capacity" >&2
     exit 2
   fi
   cmake --build --preset release --target "bench_$name" >/dev/null
