Keep the number of voters at its target through lost domains and disks

The trace shows three faults. A learner was ready only when it had the commit index of that very moment, which it never has on a busy log: one waited for 18 s. While a failure domain was cut off, both of its voters were removed for one ready learner, so four voters remained. The removed replicas came back, found themselves in their own old configuration and never asked to join, so they never voted again. Two lost disks then cost the quorum.

Change: the leader counts catch-up rounds (all entries that the log had when the round began, synced within an election time-out); Promote and the status use them. A silent voter is removed only while the voters are at their target. A replica that has seen no leader for 2 s asks to join.

--- a/src/libs/consensus/membership_change.cc
+++ b/src/libs/consensus/membership_change.cc
@@ -85,6 +85,11 @@
   return this->now - peer.last_contact < this->config.timings.election_min;
 }
 
+bool Replica::Private::IsCaughtUp(const Progress& peer) const {
+  return peer.durable && this->IsActive(peer) &&
+         peer.IsCaughtUp(this->now, this->config.timings.election_max);
+}
+
 /// Refuses a change after which the reachable replicas couldn't commit anything.
 std::optional<ProposeError> Replica::Private::CheckQuorumOf(const Configuration& next) const {
   const auto active = std::ranges::count_if(next.voters, [this](const ReplicaId& voter) {
@@ -115,7 +120,7 @@
     return ProposeError{ProposeErrorKind::kInvalidChange, "'" + id + "' is no learner"};
   }
   const Progress& peer = this->progress.at(id);
-  if (!peer.durable || !this->IsActive(peer) || peer.match < this->hard_state.commit) {
+  if (!this->IsCaughtUp(peer)) {
     return ProposeError{ProposeErrorKind::kNotCaughtUp,
                         "'" + id + "' has entries up to " + std::to_string(peer.match) + " of " +
                             std::to_string(this->hard_state.commit) +
@@ -148,7 +153,8 @@
   status.configuration = this->Current();
   status.configuration_committed = this->configurations.back().first <= this->hard_state.commit;
   for (const auto& [id, peer] : this->progress) {
-    status.peers.push_back({id, peer.match, this->IsActive(peer), peer.durable});
+    status.peers.push_back(
+        {id, peer.match, this->IsActive(peer), peer.durable, this->IsCaughtUp(peer)});
   }
   return status;
 }
--- a/src/libs/consensus/progress.cc
+++ b/src/libs/consensus/progress.cc
@@ -8,6 +8,8 @@
   this->incarnation = new_incarnation;
   this->match = 0;
   this->sent_commit = 0;
+  this->catch_up_round.reset();
+  this->last_round_was_short = false;
   this->BecomeProbe(next_index);
 }
 
@@ -53,4 +55,16 @@
   }
 }
 
+void Progress::UpdateCatchUp(base::TimePoint now, Index last, base::Duration max_round) {
+  if (this->catch_up_round) {
+    if (this->durable_match < this->catch_up_round->target) return;
+    this->last_round_was_short = now - this->catch_up_round->start <= max_round;
+  }
+  this->catch_up_round = CatchUpRound{now, last};
+}
+
+bool Progress::IsCaughtUp(base::TimePoint now, base::Duration max_round) const {
+  return this->last_round_was_short && now - this->catch_up_round->start <= max_round;
+}
+
 }  // namespace mangoroad::consensus::internal
--- a/src/libs/consensus/progress.h
+++ b/src/libs/consensus/progress.h
@@ -31,6 +31,12 @@
   void OnSent(Index last, std::size_t bytes);
   /// The replica has all entries up to `index`.
   void OnAccepted(Index index, bool is_durable);
+  /// Ends the catch-up round if the replica has synced all entries that the log had when the round
+  /// began, and begins the next one. `last` is the last index of the leader's log.
+  void UpdateCatchUp(base::TimePoint now, Index last, base::Duration max_round);
+  /// True when the last round was no longer than `max_round` and the present one isn't either. On
+  /// a log that keeps growing, a replica never has the entries of this moment.
+  [[nodiscard]] bool IsCaughtUp(base::TimePoint now, base::Duration max_round) const;
 
   ProgressState state = ProgressState::kProbe;
   Index match = 0;
@@ -55,7 +61,14 @@
   std::optional<base::TimePoint> chunk_sent;
 
  private:
+  struct CatchUpRound {
+    base::TimePoint start;
+    Index target = 0;
+  };
+
   std::deque<std::pair<Index, std::size_t>> inflight;
+  std::optional<CatchUpRound> catch_up_round;
+  bool last_round_was_short = false;
 };
 
 }  // namespace mangoroad::consensus::internal
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -168,6 +168,8 @@
   Index match_index = 0;
   bool active = false;
   bool durable = false;
+  /// In contact, and its disk follows the log within an election timeout; see Progress.
+  bool caught_up = false;
 };
 
 struct Status {
--- a/src/libs/consensus/replica_private.h
+++ b/src/libs/consensus/replica_private.h
@@ -131,6 +131,7 @@
   std::optional<ProposeError> CheckChange() const;
   std::optional<ProposeError> CheckQuorumOf(const Configuration& next) const;
   bool IsActive(const Progress& progress) const;
+  bool IsCaughtUp(const Progress& progress) const;
   base::Result<ProposalId, ProposeError> AddLearner(const ReplicaId& id);
   base::Result<ProposalId, ProposeError> Promote(const ReplicaId& id);
   base::Result<ProposalId, ProposeError> Remove(const ReplicaId& id);
--- a/src/libs/consensus/replication.cc
+++ b/src/libs/consensus/replication.cc
@@ -137,6 +137,7 @@
   if (response.accepted) {
     MANGOROAD_SOFT_ASSERT(response.index <= this->log.LastIndex(), return);
     peer->OnAccepted(response.index, response.durable);
+    peer->UpdateCatchUp(this->now, this->log.LastIndex(), this->config.timings.election_max);
     this->AdvanceCommit();
     return;
   }
--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "controller/identity.h"
+#include "controller/join_schedule.h"
 #include "controller/replica_manager.h"
 #include "entry/log_service.h"
 #include "log/log.h"
@@ -68,6 +69,7 @@
   entry::LogService log_service;
   RunManager run_manager;
   ReplicaManager replica_manager;
+  JoinSchedule join_schedule;
   std::unique_ptr<net::PeerLinks> links;
   std::unique_ptr<net::HttpServer> relay_server;
   consensus::ReplicaId self;
@@ -268,7 +270,9 @@
 void CoreNode::Private::ManageReplicas() {
   const consensus::Status status = this->log_service.Status();
   if (status.role != consensus::Role::kLeader) {
-    if (!status.configuration.Has(this->self)) this->AskToJoin(status);
+    if (this->join_schedule.IsRequestDue(this->loop.Now(), this->self, status)) {
+      this->AskToJoin(status);
+    }
     return;
   }
   if (!this->log_service.MayLead()) return;
--- a/src/libs/controller/replica_manager.cc
+++ b/src/libs/controller/replica_manager.cc
@@ -21,10 +21,7 @@
   for (const consensus::PeerStatus& peer : status.peers) {
     if (peer.active) this->last_contact[peer.id] = now;
     this->last_contact.emplace(peer.id, now);
-    const bool is_learner = status.configuration.HasLearner(peer.id);
-    if (is_learner && peer.active && peer.durable && peer.match_index >= status.commit_index) {
-      ready.insert(peer.id);
-    }
+    if (status.configuration.HasLearner(peer.id) && peer.caught_up) ready.insert(peer.id);
   }
   std::erase_if(this->join_requests, [&](const auto& id) { return status.configuration.Has(id); });
   if (!status.configuration_committed) return std::nullopt;
@@ -33,18 +30,29 @@
     this->join_requests.erase(this->join_requests.begin());
     return ReplicaChange{ReplicaChangeKind::kAddLearner, id};
   }
-  for (const consensus::ReplicaId& voter : status.configuration.voters) {
-    if (voter == self) continue;
-    // A replica with this address and another identity: the voter's disk was lost.
-    const bool has_new_identity = std::ranges::any_of(
-        ready, [&](const auto& id) { return AddressOf(id) == AddressOf(voter); });
-    const bool is_silent =
-        !ready.empty() && this->TimeSinceContact(now, voter) >= this->settings.replace_voter_after;
-    if (has_new_identity || is_silent) return ReplicaChange{ReplicaChangeKind::kRemove, voter};
-  }
-  if (!ready.empty() && status.configuration.voters.size() < this->settings.voters) {
+  const auto& voters = status.configuration.voters;
+  // A replica with a voter's address and another identity: the voter's disk was lost.
+  const auto wiped = std::ranges::find_if(voters, [&](const auto& voter) {
+    return voter != self && std::ranges::any_of(ready, [&](const auto& id) {
+             return AddressOf(id) == AddressOf(voter);
+           });
+  });
+  if (wiped != voters.end()) return ReplicaChange{ReplicaChangeKind::kRemove, *wiped};
+  if (ready.empty()) return this->FindSilentLearner(now, status);
+  if (voters.size() < this->settings.voters) {
     return ReplicaChange{ReplicaChangeKind::kPromote, *ready.begin()};
   }
+  // One voter at a time: the next one isn't removed before the replacement of this one votes.
+  const auto silent = std::ranges::find_if(voters, [&](const auto& voter) {
+    return voter != self &&
+           this->TimeSinceContact(now, voter) >= this->settings.replace_voter_after;
+  });
+  if (silent != voters.end()) return ReplicaChange{ReplicaChangeKind::kRemove, *silent};
+  return this->FindSilentLearner(now, status);
+}
+
+std::optional<ReplicaChange> ReplicaManager::FindSilentLearner(
+    base::TimePoint now, const consensus::Status& status) const {
   for (const consensus::ReplicaId& learner : status.configuration.learners) {
     if (this->TimeSinceContact(now, learner) >= this->settings.remove_learner_after) {
       return ReplicaChange{ReplicaChangeKind::kRemove, learner};
--- a/src/libs/controller/replica_manager.h
+++ b/src/libs/controller/replica_manager.h
@@ -48,6 +48,9 @@
 
  private:
   base::Duration TimeSinceContact(base::TimePoint now, const consensus::ReplicaId& id) const;
+  /// The removal of a learner that was silent for too long.
+  std::optional<ReplicaChange> FindSilentLearner(base::TimePoint now,
+                                                 const consensus::Status& status) const;
 
   ReplicaManagerSettings settings;
   std::set<consensus::ReplicaId> join_requests;
--- a/tests/auto/consensus/simulation.h
+++ b/tests/auto/consensus/simulation.h
@@ -71,6 +71,8 @@
   /// Why the node didn't start; empty when it did.
   std::string open_error;
   bool disk_failed = false;
+  /// Added to the time of each sync.
+  Duration extra_sync_time{0};
   std::uint64_t generation = 0;
   TimePoint paused_until;
   Duration clock_offset{0};
--- a/tests/auto/consensus/tst_replica.cc
+++ b/tests/auto/consensus/tst_replica.cc
@@ -231,5 +231,61 @@
   CHECK_FALSE(DecodeMessage(bytes + "x"));
 }
 
+// Guards against a learner that is never promoted because entries are always on their way to it:
+// on a log of 1,900 commands a second it never has the commit index of this moment.
+TEST_CASE("a learner is promoted while the log grows by 1,900 commands a second") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    SimulationOptions options;
+    options.seed = seed;
+    options.sync_min = 6ms;
+    options.sync_max = 9ms;
+    options.compact_every = 4'000;
+    options.limits = {};
+    Simulation simulation(options, kThree);
+    for (const char* name : {"a", "b", "c", "learner"}) simulation.AddNode(name);
+    simulation.At("learner").extra_sync_time = 40ms;
+    REQUIRE(simulation.RunUntil(2s, [&] { return simulation.Leader() != nullptr; }));
+    const std::string leader = simulation.Leader()->name;
+    simulation.RunFor(200ms);
+    simulation.Act(leader, [](Replica& replica, TimePoint now) {
+      CHECK(base::Ok(replica.AddLearner(now, "learner")));
+    });
+    bool promoted = false;
+    const TimePoint end = simulation.now + 4s;
+    for (int round = 0; simulation.now < end && !promoted; ++round) {
+      for (int i = 0; i < 19; ++i) simulation.Begin(leader, Write("x", "1"));
+      simulation.RunFor(10ms);
+      if (round % 30 != 29) continue;
+      for (int i = 0; i < 19; ++i) simulation.Begin(leader, Write("x", "1"));
+      simulation.Act(leader, [&](Replica& replica, TimePoint now) {
+        promoted = base::Ok(replica.Promote(now, "learner"));
+      });
+    }
+    CHECK(promoted);
+    CHECK(simulation.violations.empty());
+  }
+}
+
+// Guards against a learner that is promoted although it has fallen behind.
+TEST_CASE("a learner that has stopped following the log isn't promoted") {
+  Simulation simulation({}, kThree);
+  for (const char* name : {"a", "b", "c", "learner"}) simulation.AddNode(name);
+  REQUIRE(simulation.RunUntil(2s, [&] { return simulation.Leader() != nullptr; }));
+  const std::string leader = simulation.Leader()->name;
+  simulation.RunFor(200ms);
+  simulation.Act(leader,
+                 [](Replica& replica, TimePoint now) { replica.AddLearner(now, "learner"); });
+  simulation.RunFor(500ms);
+  simulation.At("learner").disk_failed = true;
+  simulation.Cut(leader, "learner");
+  simulation.RunFor(1s);
+  simulation.Act(leader, [](Replica& replica, TimePoint now) {
+    const auto result = replica.Promote(now, "learner");
+    REQUIRE_FALSE(base::Ok(result));
+    CHECK(base::ErrorOf(result).kind == ProposeErrorKind::kNotCaughtUp);
+  });
+}
+
 }  // namespace
 }  // namespace mangoroad::consensus::test
