Spread the exchanges with targets over the core VMs

Change: core VMs that don't lead carry the leader's requests to the targets of their failure domain and confirm unchanged announcements. The leader alone decides and logs; a delegate keeps no state of targets, so no hand-over needs agreement. A batch of calls is a permission: it is used only from the leader and term that the delegate's replica knows, for this process of the delegate, and within 1 s by a clock that goes on while suspended, shown by an echo of the delegate's own clock. The leader uses a delegate only while the delegate echoes the leader's clock. A call whose delegate was lost counts as possibly executed and is sent another way, and says nothing about the target.

--- /dev/null
+++ b/src/libs/controller/call_delegate.h
@@ -0,0 +1,86 @@
+// A delegate's side of delegated calls: sends the leader's requests to targets and returns the
+// responses, and confirms unchanged announcements of targets on behalf of the leader.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "controller/call_delegator.h"
+#include "controller/delegation_messages.h"
+#include "workload/workload_state.h"
+
+namespace mangoroad::controller {
+
+/// Whom this replica knows as the leader: the address of its replica, empty when there is none or
+/// when it is this replica itself.
+struct KnownLeader {
+  std::string address;
+  Fence fence = 0;
+};
+
+/// True when the announcement changes nothing in the replicated state.
+bool IsUnchanged(const workload::TargetRecord& record, const Announcement& announcement);
+
+class CallDelegate {
+ public:
+  /// A batch of calls is a permission to send them. It is used only if it was certainly sent at
+  /// most this long ago; a process that was suspended refuses what waited for it. Several
+  /// heartbeats.
+  static constexpr base::Duration kMaxPermissionAge = std::chrono::milliseconds(1000);
+  /// Targets and operators repeat a call after one second without a response.
+  static constexpr base::Duration kReportTimeout = std::chrono::milliseconds(800);
+
+  /// `incarnation` is a number that no earlier process of this replica has used.
+  CallDelegate(TargetCalls& target_calls, DelegationLink& delegation_link,
+               const workload::WorkloadState& workload_state, std::string own_failure_domain,
+               std::uint64_t own_incarnation);
+
+  /// Sends the requests of the batch, or refuses all of them unless `from` is the leader that this
+  /// replica knows and the batch is recent.
+  void OnCalls(base::TimePoint now, const std::string& from, const CallBatch& batch,
+               const KnownLeader& leader);
+  /// True when Announce() may be called: the leader was in contact and has asked for it.
+  [[nodiscard]] bool TakesReports(base::TimePoint now) const;
+  /// Calls `done(true)` when the announcement changes nothing, or when the leader has accepted it.
+  void Announce(base::TimePoint now, const Announcement& announcement,
+                std::function<void(bool accepted)> done);
+  /// Sends results, and heartbeats.
+  void Flush(base::TimePoint now);
+  /// Must be called every 50 ms.
+  void Tick(base::TimePoint now, const KnownLeader& leader);
+
+ private:
+  struct PendingReport {
+    std::function<void(bool accepted)> done;
+    base::TimePoint expires;
+  };
+
+  void Send(const DelegatedCall& call);
+  void AddResult(Fence fence, DelegatedResult result);
+  void Refuse(const CallBatch& batch, std::string_view reason);
+  void SetLeader(const KnownLeader& leader);
+
+  TargetCalls& targets;
+  DelegationLink& link;
+  const workload::WorkloadState& state;
+  std::string failure_domain;
+  std::uint64_t incarnation;
+  KnownLeader known_leader;
+  /// The leader has sent its latest batch after this moment.
+  std::optional<base::TimePoint> leader_seen_after;
+  std::int64_t leader_clock_us = 0;
+  bool takes_reports = false;
+  base::TimePoint last_sent;
+  std::vector<DelegatedResult> results;
+  std::vector<TargetContact> contacts;
+  std::vector<RelayedReport> reports;
+  std::uint64_t last_report = 0;
+  std::map<std::uint64_t, PendingReport> pending_reports;
+};
+
+}  // namespace mangoroad::controller
--- /dev/null
+++ b/src/libs/controller/call_delegator.cc
@@ -0,0 +1,250 @@
+#include "controller/call_delegator.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+#include "log/log.h"
+
+namespace mangoroad::controller {
+
+CallDelegator::CallDelegator(TargetCalls& direct_calls, DelegationLink& delegation_link,
+                             ReportHandlers report_handlers, DelegationSettings delegation_settings)
+    : direct(direct_calls),
+      link(delegation_link),
+      reports(std::move(report_handlers)),
+      settings(delegation_settings) {}
+
+void CallDelegator::BeginTerm(base::TimePoint now, Fence new_fence) {
+  this->EndTerm();
+  this->leading = true;
+  this->fence = new_fence;
+  this->UpdateUsable(now);
+}
+
+void CallDelegator::EndTerm() {
+  this->leading = false;
+  this->pending.clear();
+  this->expiries.clear();
+  this->usable.clear();
+  this->delegate_of_target.clear();
+  for (auto& [name, delegate] : this->delegates) {
+    delegate.reached.reset();
+    delegate.calls.clear();
+    delegate.verdicts.clear();
+  }
+}
+
+void CallDelegator::Start(const TargetEndpoint& to, const StartRequest& request, OnResponse done) {
+  if (!this->PassOn(to, request, {}, done)) this->direct.Start(to, request, std::move(done));
+}
+
+void CallDelegator::Stop(const TargetEndpoint& to, const StopRequest& request, OnResponse done) {
+  if (!this->PassOn(to, request, {}, done)) this->direct.Stop(to, request, std::move(done));
+}
+
+void CallDelegator::Throttle(const TargetEndpoint& to, const ThrottleRequest& request,
+                             OnResponse done) {
+  if (!this->PassOn(to, request, {}, done)) this->direct.Throttle(to, request, std::move(done));
+}
+
+void CallDelegator::Poll(const TargetEndpoint& to, const PollRequest& request,
+                         OnPollResponse done) {
+  if (!this->PassOn(to, request, request.wait, done)) {
+    this->direct.Poll(to, request, std::move(done));
+  }
+}
+
+bool CallDelegator::PassOn(const TargetEndpoint& to, DelegatedRequest request, base::Duration wait,
+                           Callback done) {
+  const std::string name = this->DelegateOf(to);
+  if (name.empty()) return false;
+  const std::uint64_t number = ++this->last_number;
+  this->pending.emplace(
+      number, PendingCall{name, std::move(done), this->settings.result_timeout + wait, {}});
+  this->delegates.at(name).calls.push_back({number, to, std::move(request)});
+  this->link.RequestFlush();
+  return true;
+}
+
+std::string CallDelegator::DelegateOf(const TargetEndpoint& to) {
+  if (this->usable.empty()) return {};
+  const auto known = this->delegate_of_target.find(to.target.id);
+  if (known != this->delegate_of_target.end()) return known->second;
+  const auto in_domain = [&](const auto& entry) { return entry.first == to.failure_domain; };
+  const bool has_own = std::ranges::any_of(this->usable, in_domain);
+  // Rendezvous hashing: when a delegate is lost, only its own targets move.
+  std::string chosen;
+  std::size_t highest = 0;
+  for (const auto& entry : this->usable) {
+    if (has_own && !in_domain(entry)) continue;
+    const std::size_t weight = std::hash<std::string>{}(to.target.id + "@" + entry.second);
+    if (chosen.empty() || weight > highest) {
+      chosen = entry.second;
+      highest = weight;
+    }
+  }
+  this->delegate_of_target.emplace(to.target.id, chosen);
+  return chosen;
+}
+
+void CallDelegator::Respond(base::TimePoint now, const Callback& done, CallStatus status) {
+  if (const auto* on_response = std::get_if<OnResponse>(&done)) {
+    (*on_response)(now, {status, {}});
+  } else {
+    std::get<OnPollResponse>(done)(now, {status, {}});
+  }
+}
+
+std::vector<std::uint64_t> CallDelegator::CallsOf(const std::string& delegate) const {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, call] : this->pending) {
+    if (call.delegate == delegate) numbers.push_back(number);
+  }
+  return numbers;
+}
+
+void CallDelegator::GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers,
+                           CallStatus status) {
+  for (const std::uint64_t number : numbers) {
+    const auto found = this->pending.find(number);
+    if (found == this->pending.end()) continue;
+    const PendingCall call = std::move(found->second);
+    this->pending.erase(found);
+    this->expiries.erase({call.expires, number});
+    Respond(now, call.done, status);
+  }
+}
+
+void CallDelegator::OnResults(base::TimePoint now, const std::string& delegate,
+                              const ResultBatch& batch) {
+  Delegate& sender = this->delegates[delegate];
+  std::vector<std::uint64_t> lost;
+  if (sender.incarnation != batch.incarnation) {
+    // The process was restarted and knows nothing of earlier calls.
+    lost = this->CallsOf(delegate);
+    sender.calls.clear();
+    sender.clock_us = 0;
+    sender.reached.reset();
+  }
+  sender.failure_domain = batch.failure_domain;
+  sender.incarnation = batch.incarnation;
+  sender.clock_us = std::max(sender.clock_us, batch.clock_us);
+  sender.last_heard = now;
+  if (!this->leading) return;
+  if (batch.fence == this->fence && batch.leader_clock_us != 0) {
+    const base::TimePoint sent{base::Duration(batch.leader_clock_us)};
+    sender.reached = std::max(sender.reached.value_or(sent), sent);
+  }
+  this->UpdateUsable(now);
+  this->GiveUp(now, lost, CallStatus::kDelegateLost);
+  for (const TargetContact& contact : batch.contacts) this->reports.on_contact(now, contact);
+  for (const RelayedReport& report : batch.reports) {
+    this->reports.on_report(now, report.announcement,
+                            [this, delegate, number = report.number](bool accepted) {
+                              this->delegates[delegate].verdicts.push_back({number, accepted});
+                              this->link.RequestFlush();
+                            });
+  }
+  if (batch.fence != this->fence) return;
+  bool refused = false;
+  for (const DelegatedResult& result : batch.results) {
+    const auto found = this->pending.find(result.number);
+    if (found == this->pending.end() || found->second.delegate != delegate) continue;
+    const PendingCall call = std::move(found->second);
+    this->pending.erase(found);
+    this->expiries.erase({call.expires, result.number});
+    refused = refused || result.status == CallStatus::kNotCarried;
+    if (const auto* on_response = std::get_if<OnResponse>(&call.done)) {
+      (*on_response)(now, {result.status, result.clock});
+    } else if (result.status == CallStatus::kDone && !result.lists) {
+      Respond(now, call.done, CallStatus::kInvalid);
+    } else {
+      std::get<OnPollResponse>(call.done)(
+          now, {result.status, result.lists.value_or(dispatch::TargetLists{})});
+    }
+  }
+  if (refused) {
+    this->delegates[delegate].avoid_until = now + this->settings.avoid_after_refusal;
+    this->UpdateUsable(now);
+  }
+}
+
+void CallDelegator::Flush(base::TimePoint now) {
+  if (!this->leading) return;
+  std::vector<std::uint64_t> unsent;
+  for (auto& [name, delegate] : this->delegates) {
+    const bool heartbeat_due = now - delegate.last_sent >= kDelegationHeartbeat;
+    if (delegate.calls.empty() && delegate.verdicts.empty() && !heartbeat_due) continue;
+    if (now - delegate.last_heard > this->settings.max_silence && delegate.calls.empty()) continue;
+    do {
+      CallBatch batch;
+      batch.fence = this->fence;
+      batch.delegate_incarnation = delegate.incarnation;
+      batch.delegate_clock_us = delegate.clock_us;
+      batch.leader_clock_us = now.time_since_epoch().count();
+      batch.takes_reports = !this->usable.empty();
+      batch.verdicts = std::exchange(delegate.verdicts, {});
+      const auto count =
+          static_cast<std::ptrdiff_t>(std::min(delegate.calls.size(), this->settings.max_batch));
+      batch.calls.assign(std::make_move_iterator(delegate.calls.begin()),
+                         std::make_move_iterator(delegate.calls.begin() + count));
+      delegate.calls.erase(delegate.calls.begin(), delegate.calls.begin() + count);
+      delegate.last_sent = now;
+      const bool sent = this->link.SendCalls(name, batch);
+      for (const DelegatedCall& call : batch.calls) {
+        const auto found = this->pending.find(call.number);
+        if (found == this->pending.end()) continue;
+        if (!sent) {
+          unsent.push_back(call.number);
+          continue;
+        }
+        found->second.expires = now + found->second.timeout;
+        this->expiries.emplace(found->second.expires, call.number);
+      }
+    } while (!delegate.calls.empty());
+  }
+  this->GiveUp(now, unsent, CallStatus::kNotCarried);
+}
+
+bool CallDelegator::IsReached(base::TimePoint now, const Delegate& delegate) const {
+  return delegate.reached && now - *delegate.reached <= this->settings.max_silence;
+}
+
+void CallDelegator::UpdateUsable(base::TimePoint now) {
+  std::set<std::pair<std::string, std::string>> next;
+  if (this->leading && this->reports.target_count() >= this->settings.min_targets) {
+    for (const auto& [name, delegate] : this->delegates) {
+      if (this->IsReached(now, delegate) && now >= delegate.avoid_until)
+        next.emplace(delegate.failure_domain, name);
+    }
+  }
+  if (next == this->usable) return;
+  this->usable = std::move(next);
+  this->delegate_of_target.clear();
+  log::Info(log::Category::kPlacement, "delegates changed",
+            {{"delegates", this->usable.size()}, {"fence", this->fence}});
+}
+
+void CallDelegator::Tick(base::TimePoint now) {
+  if (!this->leading) return;
+  this->UpdateUsable(now);
+  std::vector<std::uint64_t> overdue;
+  while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
+    overdue.push_back(this->expiries.begin()->second);
+    this->expiries.erase(this->expiries.begin());
+  }
+  for (auto& [name, delegate] : this->delegates) {
+    if (this->IsReached(now, delegate)) continue;
+    const std::vector<std::uint64_t> lost = this->CallsOf(name);
+    if (lost.empty()) continue;
+    delegate.calls.clear();
+    log::Warning(log::Category::kPlacement, "delegate lost",
+                 {{"delegate", name}, {"calls", lost.size()}});
+    overdue.insert(overdue.end(), lost.begin(), lost.end());
+  }
+  this->GiveUp(now, overdue, CallStatus::kDelegateLost);
+  this->Flush(now);
+}
+
+}  // namespace mangoroad::controller
--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <utility>
 
+#include "controller/delegation.h"
 #include "controller/identity.h"
 #include "controller/join_schedule.h"
 #include "controller/replica_manager.h"
@@ -67,6 +68,7 @@
   WorkloadStateMachine state_machine;
   metrics::ActivityMeter meter{[this] { return this->loop.Now(); }};
   entry::LogService log_service;
+  Delegation delegation;
   RunManager run_manager;
   ReplicaManager replica_manager;
   JoinSchedule join_schedule;
@@ -95,7 +97,13 @@
                     [this](const consensus::ReplicaId& to, std::string message) {
                       this->SendToReplica(to, {kRaftKind, std::move(message)});
                     }),
-        run_manager(this->state_machine.state, calls, *this, this->settings.run_manager),
+        delegation(event_loop, calls, this->state_machine.state, this->settings.failure_domain,
+                   this->MakeReportHandlers(),
+                   [this](const std::string& address, wire::Envelope envelope) {
+                     return this->SendTo(address, envelope);
+                   }),
+        run_manager(this->state_machine.state, this->delegation.Calls(), *this,
+                    this->settings.run_manager),
         replica_manager({.voters = 2 * this->settings.tolerated_failures + 1}) {}
 
   void Propose(const workload::Command& command, OnProposed done) override {
@@ -121,8 +129,11 @@
   std::string PeerName(std::string_view ip) const {
     return std::string(ip) + ":" + std::to_string(this->settings.peer_port);
   }
+  ReportHandlers MakeReportHandlers();
+  KnownLeader OtherLeader() const;
+  bool SendTo(const std::string& address, const wire::Envelope& envelope);
   void SendToReplica(const consensus::ReplicaId& to, const wire::Envelope& envelope);
-  void OnEnvelope(wire::Envelope envelope);
+  void OnEnvelope(const std::string& from, wire::Envelope envelope);
   void OnJoin(const std::string& id);
   void CheckLeadership();
   void MeasureLoopDelay(base::TimePoint now);
@@ -138,21 +149,49 @@
   RelayReply NotLeaderReply() const;
 };
 
+ReportHandlers CoreNode::Private::MakeReportHandlers() {
+  return {
+      .on_contact =
+          [this](base::TimePoint now, const TargetContact& contact) {
+            this->run_manager.NoteContact(now, contact);
+          },
+      .on_report =
+          [this](base::TimePoint now, const Announcement& announcement,
+                 const std::function<void(bool)>& done) {
+            if (!this->MayLead()) return done(false);
+            this->run_manager.Announce(now, announcement, done);
+          },
+      .target_count = [this] { return this->state_machine.state.Targets().size(); },
+  };
+}
+
+KnownLeader CoreNode::Private::OtherLeader() const {
+  const consensus::Status status = this->log_service.Status();
+  const bool is_other = status.role != consensus::Role::kLeader && !status.leader.empty();
+  return {is_other ? AddressOf(status.leader) : std::string(), status.term};
+}
+
+bool CoreNode::Private::SendTo(const std::string& address, const wire::Envelope& envelope) {
+  if (this->links == nullptr || address == AddressOf(this->self)) return false;
+  const net::SendResult result = this->links->Send(address, envelope);
+  if (result == net::SendResult::kUnknownPeer) {
+    this->links->AddPeer({address, {IpOf(address), this->settings.peer_port}, {}});
+  }
+  return result == net::SendResult::kQueued;
+}
+
 void CoreNode::Private::SendToReplica(const consensus::ReplicaId& to,
                                       const wire::Envelope& envelope) {
-  const std::string name = AddressOf(to);
-  if (this->links == nullptr || name == AddressOf(this->self)) return;
-  if (this->links->Send(name, envelope) == net::SendResult::kUnknownPeer) {
-    this->links->AddPeer({name, {IpOf(name), this->settings.peer_port}, {}});
-  }
+  this->SendTo(AddressOf(to), envelope);
 }
 
-void CoreNode::Private::OnEnvelope(wire::Envelope envelope) {
+void CoreNode::Private::OnEnvelope(const std::string& from, wire::Envelope envelope) {
+  const metrics::ActivityMeter::Scope measured(this->meter, metrics::Activity::kDelegates);
   if (envelope.kind == kRaftKind) {
     this->log_service.OnMessage(envelope.payload);
   } else if (envelope.kind == kJoinKind) {
     this->OnJoin(envelope.payload);
-  } else {
+  } else if (!this->delegation.OnEnvelope(from, envelope, this->OtherLeader())) {
     log::Warning(log::Category::kNet, "unknown kind of message", {{"kind", envelope.kind}});
   }
 }
@@ -204,6 +243,9 @@
              {"requests_ms", ms(Activity::kRequests)},
              {"responses_ms", ms(Activity::kResponses)},
              {"responses", of(Activity::kResponses).calls},
+             {"delegates_ms", ms(Activity::kDelegates)},
+             {"delegates", this->delegation.Calls().DelegateCount()},
+             {"delegated_calls", this->delegation.Calls().PendingCalls()},
              {"reports_ms", ms(Activity::kReports)},
              {"reports", of(Activity::kReports).calls},
              {"callers_ms", ms(Activity::kCallers)},
@@ -229,13 +271,16 @@
   if (this->run_manager.IsLeading() && (!leads || status.term != this->leading_term)) {
     log::Info(log::Category::kConsensus, "leadership lost", {{"term", this->leading_term}});
     this->run_manager.EndTerm();
+    this->delegation.Calls().EndTerm();
   }
   if (!this->run_manager.IsLeading() && leads && this->log_service.MayLead()) {
     this->leading_term = status.term;
     log::Info(log::Category::kConsensus, "leadership taken",
               {{"term", status.term}, {"jobs", this->state_machine.state.JobCount()}});
+    this->delegation.Calls().BeginTerm(this->loop.Now(), status.term);
     this->run_manager.BeginTerm(this->loop.Now(), status.term);
   }
+  this->delegation.Tick(this->OtherLeader());
   this->run_manager.Tick(this->loop.Now());
 }
 
@@ -296,8 +341,8 @@
     link_settings.peers.push_back({this->PeerName(ip), {ip, this->settings.peer_port}, {}});
   }
   net::PeerLinkCallbacks callbacks;
-  callbacks.on_envelope = [this](const std::string& /*peer*/, wire::Envelope envelope) {
-    this->OnEnvelope(std::move(envelope));
+  callbacks.on_envelope = [this](const std::string& peer, wire::Envelope envelope) {
+    this->OnEnvelope(peer, std::move(envelope));
   };
   this->links =
       std::make_unique<net::PeerLinks>(this->loop.Base(), std::move(link_settings),
@@ -421,8 +466,20 @@
 }
 
 void CoreNode::Announce(const Announcement& announcement, const RunManager::OnAnnounced& done) {
-  if (!this->IsActiveLeader()) return done(false);
-  this->d->run_manager.Announce(this->d->loop.Now(), announcement, done);
+  const base::TimePoint now = this->d->loop.Now();
+  if (this->IsActiveLeader()) return this->d->run_manager.Announce(now, announcement, done);
+  this->d->delegation.Delegate().Announce(now, announcement, done);
+}
+
+bool CoreNode::TakesAnnouncements() const {
+  return this->IsActiveLeader() || this->d->delegation.Delegate().TakesReports(this->d->loop.Now());
+}
+
+std::string CoreNode::AnnounceTo(const workload::TargetRecord& target) const {
+  if (!this->IsActiveLeader()) return this->d->settings.ip;
+  const std::string delegate = this->d->delegation.Calls().DelegateOf(
+      {target.address, target.incarnation, target.failure_domain});
+  return delegate.empty() ? this->d->settings.ip : IpOf(delegate);
 }
 
 void CoreNode::Leave(const std::string& id,
--- a/src/libs/controller/core_node.h
+++ b/src/libs/controller/core_node.h
@@ -24,6 +24,7 @@
 
 struct CoreSettings {
   std::string ip;
+  std::string failure_domain;
   std::uint16_t peer_port = 0;   ///< connections between replicas
   std::uint16_t relay_port = 0;  ///< requests of edge VMs
   /// Addresses (ip) of replicas through which to join; at the first start, the first voters.
@@ -73,7 +74,12 @@
   void Declare(workload::Declaration declaration, std::function<void(DeclareOutcome)> done);
   /// The declaration in force; valid only while IsActiveLeader().
   [[nodiscard]] const workload::Declaration& InForce() const;
+  /// True when this replica may be called with announcements of targets: it leads, or it confirms
+  /// them for a leader with which it is in contact.
+  [[nodiscard]] bool TakesAnnouncements() const;
   void Announce(const Announcement& announcement, const RunManager::OnAnnounced& done);
+  /// Address (ip) of the core VM that should get the target's further announcements.
+  [[nodiscard]] std::string AnnounceTo(const workload::TargetRecord& target) const;
   void Leave(const std::string& id, std::optional<workload::IncarnationNumber> incarnation_number,
              const RunManager::OnAnnounced& done);
   using OnReply = std::function<void(const RelayReply&)>;
--- /dev/null
+++ b/src/libs/controller/delegation.h
@@ -0,0 +1,45 @@
+// Connects delegated calls to the links between replicas: both roles of a core VM, of which the
+// leader uses one and the other replicas the other.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "controller/call_delegate.h"
+#include "controller/call_delegator.h"
+#include "wire/messages.h"
+
+namespace mangoroad::net {
+class EventLoop;
+}
+
+namespace mangoroad::controller {
+
+class Delegation {
+ public:
+  /// Sends an envelope to the replica at an address; false when it is certainly not sent.
+  using Send = std::function<bool(const std::string& address, wire::Envelope envelope)>;
+
+  Delegation(net::EventLoop& loop, TargetCalls& calls, const workload::WorkloadState& state,
+             std::string failure_domain, ReportHandlers handlers, Send send);
+  ~Delegation();
+  Delegation(const Delegation&) = delete;
+  Delegation& operator=(const Delegation&) = delete;
+
+  /// What the leader sends its requests through.
+  [[nodiscard]] CallDelegator& Calls();
+  [[nodiscard]] CallDelegate& Delegate();
+  /// False when the envelope isn't about delegated calls.
+  bool OnEnvelope(const std::string& from, const wire::Envelope& envelope,
+                  const KnownLeader& leader);
+  /// Must be called every 50 ms.
+  void Tick(const KnownLeader& leader);
+
+ private:
+  struct Private;
+  std::unique_ptr<Private> d;
+};
+
+}  // namespace mangoroad::controller
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -21,8 +21,6 @@
 
 namespace {
 
-/// Upper limit of the factor by which the retry delay of polls grows while a target is silent.
-constexpr int kMaxBackoffFactor = 5;
 /// Minimum time between two log lines about waiting tasks.
 constexpr base::Duration kBacklogLogInterval = std::chrono::seconds(1);
 
@@ -75,7 +73,7 @@
 }
 
 TargetEndpoint RunManager::EndpointOf(const TargetRecord& record) const {
-  return {record.address, record.incarnation};
+  return {record.address, record.incarnation, record.failure_domain};
 }
 
 /// Adopts the committed runs of a target. An earlier leader may or may not have sent their start
@@ -102,162 +100,6 @@
   this->ends.push_back({task, run, target, how, {}, 0});
 }
 
-bool RunManager::NeedsPoll(base::TimePoint now, const TargetView& view,
-                           const TargetRecord& record) const {
-  // A target without a response is polled again as long as it announces itself. Otherwise it would
-  // stay unused after a network partition that let its announcements through.
-  const bool is_unresponsive = view.unanswered_requests > 0 &&
-                               now - view.last_contact < this->settings.health.silence_timeout;
-  return !view.is_fenced || !view.runs.empty() || view.poll.acknowledged < record.acknowledged ||
-         is_unresponsive;
-}
-
-void RunManager::SendPollIfDue(base::TimePoint now, TargetView& view) {
-  const dispatch::PollState& poll = view.poll;
-  if (poll.in_flight || now < poll.next_at) return;
-  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPolls);
-  const TargetRecord* record = this->RecordOf(view.incarnation);
-  if (record == nullptr) return;
-  // Listed ends are committed and acknowledged first, otherwise the target would respond at once.
-  const bool awaits_commit = poll.listed > record->acknowledged;
-  if (awaits_commit || !this->NeedsPoll(now, view, *record)) return;
-  this->SendPoll(now, view, *record);
-}
-
-void RunManager::SendPoll(base::TimePoint now, TargetView& view, const TargetRecord& record) {
-  if (!this->context.MayLead()) return;
-  view.poll.in_flight = true;
-  PollRequest request;
-  request.fence = this->fence;
-  request.acknowledged = record.acknowledged;
-  // The lease of a silent target isn't extended, or it would never expire.
-  if (view.unanswered_requests == 0) request.deadline = view.lease.Grant(now);
-  if (view.is_fenced && !view.runs.empty()) {
-    request.wait = view.is_near_slo ? this->settings.slo_poll_wait : this->settings.poll_wait;
-  }
-  const std::uint64_t sent_generation = this->generation;
-  this->calls.Poll(
-      this->EndpointOf(record), request,
-      [this, target = view.incarnation, sent_generation, now, acknowledged = request.acknowledged](
-          base::TimePoint received_at, const PollResponse& response) {
-        if (sent_generation != this->generation) return;
-        this->OnPollResponse(received_at, target, now, acknowledged, response);
-      });
-}
-
-void RunManager::OnPollResponse(base::TimePoint now, const TargetIncarnation& target,
-                                base::TimePoint sent_at, std::uint64_t acknowledged,
-                                const PollResponse& response) {
-  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
-  TargetView* view = this->targets.Find(target.id);
-  if (view == nullptr || view->incarnation != target) return;
-  this->MarkChanged(target.id);
-  dispatch::PollState& poll = view->poll;
-  poll.in_flight = false;
-  switch (response.status) {
-    case CallStatus::kDone:
-      if (response.lists.incarnation != 0 && response.lists.incarnation != target.number) {
-        this->OnOtherIncarnation(target);
-        break;
-      }
-      poll.acknowledged = std::max(poll.acknowledged, acknowledged);
-      poll.next_at = now;
-      this->ApplyLists(now, *view, sent_at, response.lists);
-      break;
-    case CallStatus::kOtherIncarnation:
-      this->OnOtherIncarnation(target);
-      break;
-    default:
-      log::Info(log::Category::kJobs, "look failed",
-                {{"target", target.id},
-                 {"verdict", base::NameOf(kCallStatusNames, response.status)},
-                 {"fence", this->fence}});
-      this->OnNoResponse(*view);
-      poll.next_at =
-          now + this->settings.retry_delay * std::min(view->unanswered_requests, kMaxBackoffFactor);
-  }
-  this->context.RequestAdvance();
-}
-
-void RunManager::OnNoResponse(TargetView& view) {
-  view.unanswered_requests += 1;
-  if (view.unanswered_requests == 2) {
-    log::Warning(log::Category::kJobs, "target lost",
-                 {{"target", view.incarnation.id}, {"birth", view.incarnation.number}});
-  }
-}
-
-void RunManager::OnOtherIncarnation(const TargetIncarnation& target) {
-  log::Warning(log::Category::kJobs, "target was replaced",
-               {{"target", target.id}, {"birth", target.number}});
-  this->replaced.insert(target);
-  this->context.Propose(workload::RemoveTarget{target}, [](base::TimePoint, bool) {});
-}
-
-void RunManager::ApplyRunning(base::TimePoint now, TargetView& view,
-                              const dispatch::RunningRow& row) {
-  const Task* task = this->state.FindTask(row.task);
-  const bool is_known = task != nullptr && task->phase == TaskPhase::kRunning &&
-                        task->run == row.run && task->target == view.incarnation;
-  if (!is_known) {
-    base::TimePoint& stop_sent_at = this->orphans[{row.task, row.run}];
-    if (stop_sent_at == base::TimePoint{} ||
-        now - stop_sent_at > this->settings.stop_retry_interval) {
-      if (this->SendStop(view, row.task, row.run)) stop_sent_at = now;
-    }
-    return;
-  }
-  RunView& run = view.runs[row.task];
-  run.run = row.run;
-  if (run.start_request != StartRequestState::kConfirmed) {
-    run.start_request = StartRequestState::kConfirmed;
-    run.confirmed_at = now;
-  }
-  if (row.percent > run.percent || run.progressed_at == base::TimePoint{}) run.progressed_at = now;
-  run.percent = row.percent;
-  run.usage = row.usage;
-}
-
-void RunManager::ApplyLists(base::TimePoint now, TargetView& view, base::TimePoint sent_at,
-                            const dispatch::TargetLists& lists) {
-  if (view.unanswered_requests >= 2) {
-    log::Info(log::Category::kJobs, "target is back",
-              {{"target", view.incarnation.id}, {"birth", view.incarnation.number}});
-  }
-  view.unanswered_requests = 0;
-  view.last_contact = now;
-  view.lease.OnClock(now, lists.clock);
-  std::set<TaskRef> listed;
-  for (const dispatch::RunningRow& row : lists.running) {
-    listed.insert(row.task);
-    this->ApplyRunning(now, view, row);
-  }
-  dispatch::PollState& poll = view.poll;
-  view.has_pending_requests = true;
-  const TargetRecord* record = this->RecordOf(view.incarnation);
-  const std::uint64_t acknowledged = record == nullptr ? 0 : record->acknowledged;
-  for (const dispatch::EndRow& row : lists.ends) {
-    listed.insert(row.task);
-    if (row.number <= std::max(poll.listed, acknowledged)) continue;
-    poll.listed = row.number;
-    this->ends.push_back(
-        {row.task, row.run, view.incarnation, row.how, row.checkpoint, row.number});
-  }
-  this->UpdateThrottling(now, view);
-  const bool first_contact = !view.is_fenced;
-  view.is_fenced = true;
-  if (lists.is_partial) return;
-  for (auto& [task, run] : view.runs) {
-    if (listed.contains(task)) continue;
-    if (first_contact && run.start_request == StartRequestState::kSent) {
-      // A request of an earlier leader no longer has any effect under this fence.
-      run.start_request = StartRequestState::kToSend;
-    } else if (run.start_request == StartRequestState::kConfirmed && run.confirmed_at < sent_at) {
-      this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
-    }
-  }
-}
-
 void RunManager::SendDueRequests(base::TimePoint now, TargetView& view) {
   this->target_checks += 1;
   if (!view.is_fenced || !view.has_pending_requests) return;
@@ -385,6 +227,13 @@
     case CallStatus::kOtherIncarnation:
       this->OnOtherIncarnation(target);
       break;
+    case CallStatus::kDelegateLost:
+      run.is_in_doubt = true;
+      [[fallthrough]];
+    case CallStatus::kNotCarried:
+      run.start_request = StartRequestState::kToSend;
+      run.requested_at = now + this->settings.carry_retry_delay;
+      break;
     case CallStatus::kNoResponse:
       run.is_in_doubt = true;
       [[fallthrough]];
@@ -568,60 +417,4 @@
   this->Advance(now);
 }
 
-void RunManager::Announce(base::TimePoint now, const Announcement& announcement,
-                          const OnAnnounced& done) {
-  const ActivityMeter::Scope measured(this->context.Meter(), Activity::kReports);
-  if (!this->leading) return done(false);
-  const TargetRecord& target = announcement.target;
-  const auto known = this->state.Targets().find(target.incarnation.id);
-  const bool is_known = known != this->state.Targets().end();
-  if (is_known && known->second.incarnation.number > target.incarnation.number) {
-    return done(true);
-  }
-  const bool is_same_incarnation = is_known && known->second.incarnation == target.incarnation;
-  if (is_same_incarnation) {
-    TargetView& view = this->targets.FindOrCreate(target.incarnation);
-    if (announcement.sequence < view.poll.sequence) return done(true);
-    view.poll.sequence = announcement.sequence;
-    view.last_contact = now;
-    if (announcement.clock) view.lease.OnClock(now, *announcement.clock);
-    const TargetRecord& record = known->second;
-    const bool unchanged = record.address == target.address && record.service == target.service &&
-                           record.capacity == target.capacity && record.labels == target.labels;
-    if (unchanged && (record.draining || !target.draining)) return done(true);
-  }
-  const auto on_proposed = [this, announcement, done](base::TimePoint applied_at, bool applied) {
-    if (applied && this->leading) {
-      TargetView& view = this->targets.FindOrCreate(announcement.target.incarnation);
-      view.last_contact = applied_at;
-      if (announcement.clock) view.lease.OnClock(applied_at, *announcement.clock);
-      this->MarkChanged(announcement.target.incarnation.id);
-      this->context.RequestAdvance();
-    }
-    done(applied);
-  };
-  log::Info(log::Category::kMembership, "target announced",
-            {{"target", target.incarnation.id},
-             {"birth", target.incarnation.number},
-             {"address", target.address},
-             {"draining", target.draining}});
-  this->context.Propose(workload::RegisterTarget{target}, on_proposed);
-}
-
-void RunManager::Leave(base::TimePoint /*now*/, const std::string& id,
-                       std::optional<workload::IncarnationNumber> incarnation_number,
-                       const OnAnnounced& done) {
-  if (!this->leading) return done(false);
-  const auto known = this->state.Targets().find(id);
-  if (known == this->state.Targets().end()) return done(true);
-  const TargetRecord& record = known->second;
-  const bool applies_to_record =
-      incarnation_number ? record.incarnation.number == *incarnation_number : record.draining;
-  if (!applies_to_record) return done(true);
-  log::Info(log::Category::kMembership, "target leaves",
-            {{"target", id}, {"birth", record.incarnation.number}});
-  this->context.Propose(workload::RemoveTarget{record.incarnation},
-                        [done](base::TimePoint, bool applied) { done(applied); });
-}
-
 }  // namespace mangoroad::controller
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -61,12 +61,16 @@
   base::Duration slo_poll_wait = std::chrono::milliseconds(300);
   /// Delay before a request without a response is sent again.
   base::Duration retry_delay = std::chrono::milliseconds(150);
+  /// Delay before a request whose delegate didn't carry it, or was lost, is sent another way.
+  base::Duration carry_retry_delay = std::chrono::milliseconds(20);
   /// Interval at which a stop is repeated until the target lists the end of the run.
   base::Duration stop_retry_interval = std::chrono::milliseconds(1000);
   /// A target that has left ends its runs within this time.
   base::Duration leave_timeout = std::chrono::milliseconds(1000);
 };
 
+struct TargetContact;
+
 /// Contents of one announcement by a target.
 struct Announcement {
   workload::TargetRecord target;
@@ -95,6 +99,8 @@
   /// Calls `done(true)` once the replicated state contains the announcement, or when it is
   /// outdated.
   void Announce(base::TimePoint now, const Announcement& announcement, const OnAnnounced& done);
+  /// Notes an announcement that a delegate has confirmed.
+  void NoteContact(base::TimePoint now, const TargetContact& contact);
   /// Removes a target that is shutting down. Without an incarnation number, the registered
   /// incarnation is removed if it is draining.
   void Leave(base::TimePoint now, const std::string& id,
--- a/src/libs/controller/target_calls.h
+++ b/src/libs/controller/target_calls.h
@@ -16,6 +16,7 @@
 struct TargetEndpoint {
   std::string address;  ///< ip:port
   workload::TargetIncarnation target;
+  std::string failure_domain;
 };
 
 /// Outcome of a request to a target.
@@ -30,8 +31,10 @@
   kInvalid,           ///< rejected permanently; a retry gets the same response
   kNotSent,           ///< no byte can have reached the target
   kNoResponse,        ///< in doubt: the target may execute the request, possibly later
+  kNotCarried,        ///< certainly not sent by the delegate; says nothing about the target
+  kDelegateLost,      ///< in doubt like kNoResponse; says nothing about the target
 };
-inline constexpr base::NameTable<CallStatus, 10> kCallStatusNames{{
+inline constexpr base::NameTable<CallStatus, 12> kCallStatusNames{{
     {CallStatus::kDone, "done"},
     {CallStatus::kFenced, "fenced"},
     {CallStatus::kStaleRun, "old"},
@@ -42,6 +45,8 @@
     {CallStatus::kInvalid, "invalid"},
     {CallStatus::kNotSent, "not-sent"},
     {CallStatus::kNoResponse, "no-answer"},
+    {CallStatus::kNotCarried, "not-carried"},
+    {CallStatus::kDelegateLost, "delegate-lost"},
 }};
 
 /// Every request carries the leader's fence; a target rejects requests with a fence lower than the
--- a/src/libs/metrics/activity_meter.h
+++ b/src/libs/metrics/activity_meter.h
@@ -20,19 +20,21 @@
   kPolls,      ///< finding and sending polls that are due
   kResponses,  ///< evaluating responses of targets
   kReports,    ///< announcements of targets
+  kDelegates,  ///< messages of delegates
   kCallers,    ///< requests of callers
   kConsensus,  ///< messages, timers and entries of the replicated log
   kApply,      ///< applying committed commands to the state
   kSnapshot,   ///< encoding the state
   kDisk,       ///< waiting for writes and syncs
 };
-inline constexpr base::NameTable<Activity, 11> kActivityNames{{
+inline constexpr base::NameTable<Activity, 12> kActivityNames{{
     {Activity::kOther, "other"},
     {Activity::kPlan, "plan"},
     {Activity::kRequests, "requests"},
     {Activity::kPolls, "polls"},
     {Activity::kResponses, "responses"},
     {Activity::kReports, "reports"},
+    {Activity::kDelegates, "delegates"},
     {Activity::kCallers, "callers"},
     {Activity::kConsensus, "consensus"},
     {Activity::kApply, "apply"},
--- a/src/libs/wire/record_codec.h
+++ b/src/libs/wire/record_codec.h
@@ -3,6 +3,7 @@
 // format. Include only in .cc files: msgpack is a heavy header.
 #pragma once
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <map>
@@ -60,6 +61,10 @@
 template <typename Value>
 concept HasFields = requires(Value& value) { FieldsOf(value); };
 
+template <typename Value>
+struct IsDuration : std::false_type {};
+template <typename Count, typename Period>
+struct IsDuration<std::chrono::duration<Count, Period>> : std::true_type {};
 template <typename Value>
 struct IsVector : std::false_type {};
 template <typename Item>
@@ -97,6 +102,8 @@
     std::apply([&](const auto&... field) { (PackRecord(packer, field), ...); }, fields);
   } else if constexpr (std::is_enum_v<Value>) {
     packer.pack(static_cast<std::uint8_t>(value));
+  } else if constexpr (internal::IsDuration<Value>::value) {
+    packer.pack(value.count());
   } else if constexpr (internal::IsVector<Value>::value) {
     packer.pack_array(static_cast<std::uint32_t>(value.size()));
     for (const auto& item : value) PackRecord(packer, item);
@@ -136,6 +143,9 @@
   } else if constexpr (std::is_enum_v<Value>) {
     value = static_cast<Value>(object.as<std::uint8_t>());
     return true;
+  } else if constexpr (internal::IsDuration<Value>::value) {
+    value = Value(object.as<typename Value::rep>());
+    return true;
   } else if constexpr (internal::IsVector<Value>::value) {
     if (object.type != msgpack::type::ARRAY) return false;
     value.resize(object.via.array.size);
