Keep departures, divide announcements, and refuse unknown values in messages

Cause: an announcement that was delayed on its way registered a target again after it had left, also after a restart. 562 targets announced themselves to one of five core VMs, which had to pause accepting. An edge VM would have dereferenced the end of a table on a reply with an unknown outcome. A request without a connection in time counted as possibly executed although none of its bytes was sent. At 1,100 targets each row of each list copied task references.

Delegates know each other, so that each core VM directs a target to the one that carries it. Decoders refuse values without a name. Lists are evaluated without copies, and runs are ranked only where best-effort and latency-critical ones meet.

Result: the tests of the late announcement and of the unknown outcome fail without their changes.

--- a/src/libs/base/name_table.h
+++ b/src/libs/base/name_table.h
@@ -22,6 +22,13 @@
   return entry == table.end() ? std::string_view("?") : entry->second;
 }
 
+/// False for a value that is none of the enumerators, for example one read from a message.
+template <typename Enum, std::size_t kSize>
+constexpr bool IsNamed(const NameTable<Enum, kSize>& table, Enum value) {
+  return std::ranges::any_of(table,
+                             [value](const auto& candidate) { return candidate.first == value; });
+}
+
 /// Enumerator called `name`, or nothing.
 template <typename Enum, std::size_t kSize>
 constexpr std::optional<Enum> ValueOfName(const NameTable<Enum, kSize>& table,
--- a/src/libs/controller/call_delegate.cc
+++ b/src/libs/controller/call_delegate.cc
@@ -30,7 +30,7 @@
   this->known_leader = leader;
   this->leader_seen_after.reset();
   this->leader_clock_us = 0;
-  this->takes_reports = false;
+  this->delegates.clear();
   this->results.clear();
   this->contacts.clear();
   this->reports.clear();
@@ -51,7 +51,7 @@
   if (now - sent_after > kMaxPermissionAge) return this->Refuse(batch, "too old");
   this->leader_seen_after = sent_after;
   this->leader_clock_us = batch.leader_clock_us;
-  this->takes_reports = batch.takes_reports;
+  this->delegates = batch.delegates;
   for (const DelegatedCall& call : batch.calls) this->Send(call);
   for (const ReportVerdict& verdict : batch.verdicts) {
     const auto found = this->pending_reports.find(verdict.number);
@@ -109,10 +109,14 @@
 }
 
 bool CallDelegate::TakesReports(base::TimePoint now) const {
-  return this->takes_reports && this->leader_seen_after &&
+  return !this->delegates.empty() && this->leader_seen_after &&
          now - *this->leader_seen_after <= kMaxPermissionAge;
 }
 
+std::string CallDelegate::AnnounceTo(const workload::TargetRecord& target) const {
+  return ChooseDelegate(this->delegates, target.incarnation.id, target.failure_domain);
+}
+
 void CallDelegate::Announce(base::TimePoint now, const Announcement& announcement,
                             std::function<void(bool accepted)> done) {
   if (!this->TakesReports(now)) return done(false);
--- a/src/libs/controller/call_delegate.h
+++ b/src/libs/controller/call_delegate.h
@@ -46,6 +46,8 @@
                const KnownLeader& leader);
   /// True when Announce() may be called: the leader was in contact and has asked for it.
   [[nodiscard]] bool TakesReports(base::TimePoint now) const;
+  /// Address of the replica that should get the target's further announcements; empty: this one.
+  [[nodiscard]] std::string AnnounceTo(const workload::TargetRecord& target) const;
   /// Calls `done(true)` when the announcement changes nothing, or when the leader has accepted it.
   void Announce(base::TimePoint now, const Announcement& announcement,
                 std::function<void(bool accepted)> done);
@@ -74,7 +76,7 @@
   /// The leader has sent its latest batch after this moment.
   std::optional<base::TimePoint> leader_seen_after;
   std::int64_t leader_clock_us = 0;
-  bool takes_reports = false;
+  std::vector<DelegateAddress> delegates;
   base::TimePoint last_sent;
   std::vector<DelegatedResult> results;
   std::vector<TargetContact> contacts;
--- a/src/libs/controller/call_delegator.cc
+++ b/src/libs/controller/call_delegator.cc
@@ -8,6 +8,24 @@
 
 namespace mangoroad::controller {
 
+std::string ChooseDelegate(const std::vector<DelegateAddress>& delegates,
+                           const std::string& target_id, const std::string& failure_domain) {
+  const auto in_domain = [&](const auto& entry) { return entry.failure_domain == failure_domain; };
+  const bool has_own = std::ranges::any_of(delegates, in_domain);
+  // Rendezvous hashing.
+  std::string chosen;
+  std::size_t highest = 0;
+  for (const auto& entry : delegates) {
+    if (has_own && !in_domain(entry)) continue;
+    const std::size_t weight = std::hash<std::string>{}(target_id + "@" + entry.address);
+    if (chosen.empty() || weight > highest) {
+      chosen = entry.address;
+      highest = weight;
+    }
+  }
+  return chosen;
+}
+
 CallDelegator::CallDelegator(TargetCalls& direct_calls, DelegationLink& delegation_link,
                              ReportHandlers report_handlers, DelegationSettings delegation_settings)
     : direct(direct_calls),
@@ -71,19 +89,7 @@
   if (this->usable.empty()) return {};
   const auto known = this->delegate_of_target.find(to.target.id);
   if (known != this->delegate_of_target.end()) return known->second;
-  const auto in_domain = [&](const auto& entry) { return entry.first == to.failure_domain; };
-  const bool has_own = std::ranges::any_of(this->usable, in_domain);
-  // Rendezvous hashing: when a delegate is lost, only its own targets move.
-  std::string chosen;
-  std::size_t highest = 0;
-  for (const auto& entry : this->usable) {
-    if (has_own && !in_domain(entry)) continue;
-    const std::size_t weight = std::hash<std::string>{}(to.target.id + "@" + entry.second);
-    if (chosen.empty() || weight > highest) {
-      chosen = entry.second;
-      highest = weight;
-    }
-  }
+  const std::string chosen = ChooseDelegate(this->usable, to.target.id, to.failure_domain);
   this->delegate_of_target.emplace(to.target.id, chosen);
   return chosen;
 }
@@ -183,7 +189,7 @@
       batch.delegate_incarnation = delegate.incarnation;
       batch.delegate_clock_us = delegate.clock_us;
       batch.leader_clock_us = now.time_since_epoch().count();
-      batch.takes_reports = !this->usable.empty();
+      batch.delegates = this->usable;
       batch.verdicts = std::exchange(delegate.verdicts, {});
       const auto count =
           static_cast<std::ptrdiff_t>(std::min(delegate.calls.size(), this->settings.max_batch));
@@ -212,11 +218,11 @@
 }
 
 void CallDelegator::UpdateUsable(base::TimePoint now) {
-  std::set<std::pair<std::string, std::string>> next;
+  std::vector<DelegateAddress> next;
   if (this->leading && this->reports.target_count() >= this->settings.min_targets) {
     for (const auto& [name, delegate] : this->delegates) {
       if (this->IsReached(now, delegate) && now >= delegate.avoid_until)
-        next.emplace(delegate.failure_domain, name);
+        next.push_back({delegate.failure_domain, name});
     }
   }
   if (next == this->usable) return;
--- a/src/libs/controller/call_delegator.h
+++ b/src/libs/controller/call_delegator.h
@@ -60,6 +60,11 @@
   std::function<std::size_t()> target_count;
 };
 
+/// The delegate for a target: one of its failure domain, or any if that has none; empty if there
+/// are none at all. When a delegate is lost, only its own targets move.
+std::string ChooseDelegate(const std::vector<DelegateAddress>& delegates,
+                           const std::string& target_id, const std::string& failure_domain);
+
 class CallDelegator : public TargetCalls {
  public:
   /// `direct_calls` sends the requests for which there is no delegate.
@@ -124,8 +129,8 @@
   Fence fence = 0;
   std::uint64_t last_number = 0;
   std::map<std::string, Delegate> delegates;
-  /// Delegates in use, by failure domain and name.
-  std::set<std::pair<std::string, std::string>> usable;
+  /// Delegates in use, in the order of their addresses.
+  std::vector<DelegateAddress> usable;
   std::unordered_map<std::string, std::string> delegate_of_target;
   std::map<std::uint64_t, PendingCall> pending;
   std::set<std::pair<base::TimePoint, std::uint64_t>> expiries;
--- a/src/libs/controller/caller_messages.cc
+++ b/src/libs/controller/caller_messages.cc
@@ -5,6 +5,7 @@
 
 namespace mangoroad::controller {
 
+using base::IsNamed;
 using workload::IsRecord;
 
 auto FieldsOf(IsRecord<CallerRequest> auto& r) { return std::tie(r.verb, r.host, r.path, r.spec); }
@@ -20,13 +21,20 @@
 }
 
 std::optional<CallerRequest> DecodeCallerRequest(std::string_view bytes) {
-  return wire::DecodeRecord<CallerRequest>(bytes);
+  auto request = wire::DecodeRecord<CallerRequest>(bytes);
+  if (request && !IsNamed(kCallerVerbNames, request->verb)) return std::nullopt;
+  return request;
 }
 
 std::string EncodeRelayReply(const RelayReply& reply) { return wire::EncodeRecord(reply); }
 
 std::optional<RelayReply> DecodeRelayReply(std::string_view bytes) {
-  return wire::DecodeRecord<RelayReply>(bytes);
+  auto reply = wire::DecodeRecord<RelayReply>(bytes);
+  if (!reply || !IsNamed(kCallerOutcomeNames, reply->reply.outcome) ||
+      !IsNamed(workload::kJobStateNames, reply->reply.state)) {
+    return std::nullopt;
+  }
+  return reply;
 }
 
 }  // namespace mangoroad::controller
--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -476,9 +476,10 @@
 }
 
 std::string CoreNode::AnnounceTo(const workload::TargetRecord& target) const {
-  if (!this->IsActiveLeader()) return this->d->settings.ip;
-  const std::string delegate = this->d->delegation.Calls().DelegateOf(
-      {target.address, target.incarnation, target.failure_domain});
+  const std::string delegate =
+      this->IsActiveLeader() ? this->d->delegation.Calls().DelegateOf(
+                                   {target.address, target.incarnation, target.failure_domain})
+                             : this->d->delegation.Delegate().AnnounceTo(target);
   return delegate.empty() ? this->d->settings.ip : IpOf(delegate);
 }
 
--- a/src/libs/controller/delegation_messages.cc
+++ b/src/libs/controller/delegation_messages.cc
@@ -1,5 +1,7 @@
 #include "controller/delegation_messages.h"
 
+#include <algorithm>
+
 #include "wire/record_codec.h"
 #include "workload/workload_codec.h"
 
@@ -37,9 +39,10 @@
 }
 auto FieldsOf(IsRecord<DelegatedCall> auto& r) { return std::tie(r.number, r.to, r.request); }
 auto FieldsOf(IsRecord<ReportVerdict> auto& r) { return std::tie(r.number, r.accepted); }
+auto FieldsOf(IsRecord<DelegateAddress> auto& r) { return std::tie(r.failure_domain, r.address); }
 auto FieldsOf(IsRecord<CallBatch> auto& r) {
   return std::tie(r.fence, r.delegate_incarnation, r.delegate_clock_us, r.leader_clock_us,
-                  r.takes_reports, r.calls, r.verdicts);
+                  r.delegates, r.calls, r.verdicts);
 }
 auto FieldsOf(IsRecord<DelegatedResult> auto& r) {
   return std::tie(r.number, r.status, r.clock, r.lists);
@@ -63,15 +66,13 @@
 std::optional<ResultBatch> DecodeResultBatch(std::string_view bytes) {
   auto batch = wire::DecodeRecord<ResultBatch>(bytes);
   if (!batch) return std::nullopt;
-  // An unknown status or end would index a table of names out of its bounds.
-  for (const DelegatedResult& result : batch->results) {
-    if (static_cast<std::size_t>(result.status) >= kCallStatusNames.size()) return std::nullopt;
-    if (!result.lists) continue;
-    const bool ends_are_known = std::ranges::all_of(result.lists->ends, [](const auto& row) {
-      return static_cast<std::size_t>(row.how) < workload::kRunEndNames.size();
-    });
-    if (!ends_are_known) return std::nullopt;
-  }
+  const auto has_known_values = [](const DelegatedResult& result) {
+    return base::IsNamed(kCallStatusNames, result.status) &&
+           (!result.lists || std::ranges::all_of(result.lists->ends, [](const auto& row) {
+             return base::IsNamed(workload::kRunEndNames, row.how);
+           }));
+  };
+  if (!std::ranges::all_of(batch->results, has_known_values)) return std::nullopt;
   return batch;
 }
 
--- a/src/libs/controller/delegation_messages.h
+++ b/src/libs/controller/delegation_messages.h
@@ -22,6 +22,12 @@
   DelegatedRequest request;
 };
 
+struct DelegateAddress {
+  std::string failure_domain;
+  std::string address;  ///< of its replica
+  bool operator==(const DelegateAddress&) const = default;
+};
+
 /// Answer to a RelayedReport.
 struct ReportVerdict {
   std::uint64_t number = 0;
@@ -38,8 +44,8 @@
   std::int64_t delegate_clock_us = 0;
   /// The leader's clock, in microseconds; only the leader itself can interpret it.
   std::int64_t leader_clock_us = 0;
-  /// The delegate may confirm unchanged announcements of targets.
-  bool takes_reports = false;
+  /// All delegates. They may confirm unchanged announcements of targets; empty: none may.
+  std::vector<DelegateAddress> delegates;
   std::vector<DelegatedCall> calls;
   std::vector<ReportVerdict> verdicts;
 };
--- a/src/libs/controller/descriptor_budget.cc
+++ b/src/libs/controller/descriptor_budget.cc
@@ -8,9 +8,9 @@
 namespace {
 
 // Shares in percent.
-constexpr std::size_t kTargetCallShare = 30;
-constexpr std::size_t kControlShare = 13;
-constexpr std::size_t kCallerRelayShare = 16;
+constexpr std::size_t kTargetCallShare = 22;
+constexpr std::size_t kControlShare = 22;
+constexpr std::size_t kCallerRelayShare = 15;
 constexpr std::size_t kCallerShare = 55;
 /// Used when the process has no limit.
 constexpr std::size_t kMaxDescriptors = 65'536;
--- a/src/libs/controller/edge_node.cc
+++ b/src/libs/controller/edge_node.cc
@@ -115,7 +115,7 @@
                                    std::optional<net::HttpFailure> failure,
                                    const net::HttpAnswer& response, const std::string& body) {
   if (failure || response.status != 200) {
-    if (failure != net::HttpFailure::kNotConnected) pending->is_in_doubt = true;
+    if (!failure || !net::IsNotSent(*failure)) pending->is_in_doubt = true;
     if (this->leader == core) this->leader.clear();
     const std::string_view kind =
         failure ? base::NameOf(net::kHttpFailureNames, *failure) : std::string_view("status");
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -145,8 +145,15 @@
   void OnStartResponse(base::TimePoint now, const workload::TargetIncarnation& target,
                        const workload::TaskRef& task, std::uint32_t run_number,
                        const CallResponse& response);
-  /// Runs of jobs that aren't final, the most urgent first, then the furthest progressed.
-  std::vector<workload::TaskRef> RunsByUrgency(const dispatch::TargetView& view) const;
+  struct RankedRun {
+    const workload::TaskRef* task = nullptr;
+    dispatch::RunView* run = nullptr;
+    const workload::StepSpec* spec = nullptr;
+    dispatch::Urgency urgency;
+  };
+  /// Runs of jobs that aren't final; where best-effort runs share a target with latency-critical
+  /// ones, the most urgent first, then the furthest progressed.
+  std::vector<RankedRun> RunsByUrgency(dispatch::TargetView& view) const;
   void UpdateThrottling(base::TimePoint now, dispatch::TargetView& view);
   /// The target has confirmed the throttle rate of a run.
   void OnThrottled(base::TimePoint now, dispatch::RunView& run, std::int32_t rate_percent) const;
--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -29,19 +29,30 @@
 
 }  // namespace
 
-std::vector<TaskRef> RunManager::RunsByUrgency(const TargetView& view) const {
+std::vector<RunManager::RankedRun> RunManager::RunsByUrgency(TargetView& view) const {
   const std::int64_t time_of_day_ms = this->context.TimeOfDayMs();
-  std::vector<std::tuple<dispatch::Urgency, std::int32_t, TaskRef>> keys;
-  for (const auto& [task, run] : view.runs) {
+  std::vector<RankedRun> ranked;
+  ranked.reserve(view.runs.size());
+  bool has_best_effort = false;
+  bool has_latency_critical = false;
+  for (auto& [task, run] : view.runs) {
     const workload::Job* job = this->state.FindJob(task.job);
-    if (job == nullptr || workload::IsFinal(job->state)) continue;
-    keys.emplace_back(dispatch::UrgencyOf(*job, task.step, time_of_day_ms), -run.percent, task);
+    if (job == nullptr || workload::IsFinal(job->state) || task.step >= job->spec.steps.size()) {
+      continue;
+    }
+    const workload::StepSpec& spec = job->spec.steps[task.step];
+    has_best_effort = has_best_effort || spec.best_effort;
+    has_latency_critical = has_latency_critical || spec.latency_slo_ms > 0;
+    ranked.push_back({&task, &run, &spec, {}});
+    ranked.back().urgency = dispatch::UrgencyOf(*job, task.step, time_of_day_ms);
   }
-  std::ranges::sort(keys);
-  std::vector<TaskRef> tasks;
-  tasks.reserve(keys.size());
-  for (auto& key : keys) tasks.push_back(std::move(std::get<2>(key)));
-  return tasks;
+  // The order only decides how best-effort runs share what latency-critical ones leave.
+  if (!has_best_effort || !has_latency_critical) return ranked;
+  std::ranges::sort(ranked, [](const RankedRun& a, const RankedRun& b) {
+    return std::tie(a.urgency, b.run->percent, *a.task) <
+           std::tie(b.urgency, a.run->percent, *b.task);
+  });
+  return ranked;
 }
 
 /// Updates the interference model from the response times of the latency-critical tasks, and sets
@@ -55,10 +66,9 @@
   std::vector<RunView*> latency_critical_runs;
   std::vector<RunView*> best_effort_runs;
   std::vector<dispatch::BestEffortShare> shares;
-  for (const TaskRef& task : this->RunsByUrgency(view)) {
-    RunView& run = view.runs.at(task);
-    const workload::StepSpec* spec = this->state.SpecOf(task.Step());
-    if (spec == nullptr) continue;
+  for (const RankedRun& ranked : this->RunsByUrgency(view)) {
+    RunView& run = *ranked.run;
+    const workload::StepSpec* spec = ranked.spec;
     const auto usage = static_cast<double>(run.usage);
     if (spec->best_effort) {
       const double full_rate_share = static_cast<double>(spec->resources.cpu) / capacity;
@@ -97,7 +107,7 @@
 
 void RunManager::SendThrottleRequests(TargetView& view) {
   for (auto& [task, run] : view.runs) {
-    const workload::StepSpec* spec = this->state.SpecOf(task.Step());
+    const workload::StepSpec* spec = this->state.SpecOf(task);
     if (spec == nullptr || !spec->best_effort || run.is_throttle_in_flight) continue;
     if (run.start_request == StartRequestState::kConfirmed &&
         run.rate_percent != run.wanted_rate_percent) {
@@ -155,7 +165,7 @@
     if (view.unanswered_requests > 0) continue;
     for (auto& [task, run] : view.runs) {
       if (migrations >= this->settings.migration.max_per_round) return;
-      const workload::StepSpec* spec = this->state.SpecOf(task.Step());
+      const workload::StepSpec* spec = this->state.SpecOf(task);
       if (spec == nullptr || run.is_migrating) continue;
       const auto reason = dispatch::FindMigrationReason(now, this->settings.migration, *spec, run);
       if (!reason) continue;
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -1,6 +1,6 @@
 // Polls of targets: leases, lists of running and ended runs.
 #include <algorithm>
-#include <set>
+#include <vector>
 
 #include "controller/run_manager.h"
 #include "log/log.h"
@@ -155,9 +155,10 @@
   view.unanswered_requests = 0;
   view.last_contact = now;
   view.lease.OnClock(now, lists.clock);
-  std::set<TaskRef> listed;
+  std::vector<const TaskRef*> listed;
+  listed.reserve(lists.running.size() + lists.ends.size());
   for (const dispatch::RunningRow& row : lists.running) {
-    listed.insert(row.task);
+    listed.push_back(&row.task);
     this->ApplyRunning(now, view, row);
   }
   dispatch::PollState& poll = view.poll;
@@ -165,7 +166,7 @@
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const std::uint64_t acknowledged = record == nullptr ? 0 : record->acknowledged;
   for (const dispatch::EndRow& row : lists.ends) {
-    listed.insert(row.task);
+    listed.push_back(&row.task);
     if (row.number <= std::max(poll.listed, acknowledged)) continue;
     poll.listed = row.number;
     this->ends.push_back(
@@ -175,8 +176,10 @@
   const bool first_contact = !view.is_fenced;
   view.is_fenced = true;
   if (lists.is_partial) return;
+  const auto by_value = [](const TaskRef* ref) -> const TaskRef& { return *ref; };
+  std::ranges::sort(listed, {}, by_value);
   for (auto& [task, run] : view.runs) {
-    if (listed.contains(task)) continue;
+    if (std::ranges::binary_search(listed, task, {}, by_value)) continue;
     if (first_contact && run.start_request == StartRequestState::kSent) {
       // A request of an earlier leader no longer has any effect under this fence.
       run.start_request = StartRequestState::kToSend;
--- a/src/libs/controller/target_reports.cc
+++ b/src/libs/controller/target_reports.cc
@@ -69,7 +69,7 @@
   if (!applies_to_record) return done(true);
   log::Info(log::Category::kMembership, "target leaves",
             {{"target", id}, {"birth", record.incarnation.number}});
-  this->context.Propose(workload::RemoveTarget{record.incarnation},
+  this->context.Propose(workload::RetireTarget{record.incarnation},
                         [done](base::TimePoint, bool applied) { done(applied); });
 }
 
--- a/src/libs/dispatch/planner.cc
+++ b/src/libs/dispatch/planner.cc
@@ -149,7 +149,7 @@
   // Latency-critical tasks first, so that the interference of each neighbour is added to them.
   std::vector<const StepSpec*> others;
   for (const TaskRef& task : running->second) {
-    const StepSpec* spec = this->state.SpecOf(task.Step());
+    const StepSpec* spec = this->state.SpecOf(task);
     if (spec == nullptr) continue;
     if (!spec->long_running && !spec->best_effort) capacity.short_cpu += spec->resources.cpu;
     if (spec->latency_slo_ms <= 0) {
--- a/src/libs/entry/live_service.cc
+++ b/src/libs/entry/live_service.cc
@@ -337,7 +337,7 @@
     result = failure || sent.status >= 500 ? AttemptResult::kRanWithError : AttemptResult::kRan;
   } else if (sent.refused_by_target) {
     result = AttemptResult::kRefused;
-  } else if (failure == net::HttpFailure::kNotConnected) {
+  } else if (failure && net::IsNotSent(*failure)) {
     result = AttemptResult::kNotSent;
   } else if (failure) {
     result = AttemptResult::kBroken;
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -37,6 +37,11 @@
     {HttpFailure::kCancelled, "cancelled"},
 }};
 
+/// True when no byte of the request has left this process.
+constexpr bool IsNotSent(HttpFailure failure) {
+  return failure == HttpFailure::kNotConnected || failure == HttpFailure::kNoConnection;
+}
+
 struct HttpClientRequest {
   HttpAddress address;
   HttpMethod method = HttpMethod::kGet;
--- a/src/libs/workload/commands.h
+++ b/src/libs/workload/commands.h
@@ -52,6 +52,12 @@
   TargetIncarnation incarnation;
 };
 
+/// A target has left by itself. Unlike RemoveTarget, this is final: a delayed announcement of the
+/// same incarnation doesn't register it again.
+struct RetireTarget {
+  TargetIncarnation incarnation;
+};
+
 /// A run whose start the leader is about to request. Ignored unless the task is ready to start
 /// and `run` is higher than its latest run.
 struct Start {
@@ -84,7 +90,9 @@
   std::int64_t at_ms = 0;
 };
 
-using Command = std::variant<Declare, Submit, Cancel, RegisterTarget, RemoveTarget, RunChanges>;
+/// Logs contain the position in this list, so new commands are appended.
+using Command =
+    std::variant<Declare, Submit, Cancel, RegisterTarget, RemoveTarget, RunChanges, RetireTarget>;
 
 /// Result of WorkloadState::Apply for a command.
 enum class Outcome : std::uint8_t {
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -15,12 +15,25 @@
   std::vector<Job> jobs;
   std::vector<TargetRecord> targets;
   std::vector<JobId> finished;
+  std::vector<TargetIncarnation> retired;
 };
 
 auto FieldsOf(IsRecord<SnapshotRecord> auto& r) {
+  return std::tie(r.declaration, r.jobs, r.targets, r.finished, r.retired);
+}
+
+/// The same without `retired`, as earlier versions wrote it.
+struct OldSnapshotRecord : SnapshotRecord {};
+
+auto FieldsOf(IsRecord<OldSnapshotRecord> auto& r) {
   return std::tie(r.declaration, r.jobs, r.targets, r.finished);
 }
 
+std::optional<SnapshotRecord> DecodeSnapshot(std::string_view snapshot) {
+  if (auto record = wire::DecodeRecord<SnapshotRecord>(snapshot)) return record;
+  return wire::DecodeRecord<OldSnapshotRecord>(snapshot);
+}
+
 bool HasOccurrencesLeft(const Job& job) {
   return job.spec.occurrences > 0 && job.next_occurrence < job.spec.occurrences;
 }
@@ -78,6 +91,7 @@
 
 Outcome WorkloadState::Handle(const RegisterTarget& command) {
   const TargetRecord& added = command.target;
+  if (this->IsRetired(added.incarnation)) return Outcome::kAlreadyThere;
   for (const auto& [id, known] : this->targets) {
     // Delayed announcement of an incarnation that a newer one with its name or address has
     // replaced.
@@ -113,6 +127,24 @@
   return Outcome::kApplied;
 }
 
+Outcome WorkloadState::Handle(const RetireTarget& command) {
+  const Outcome outcome = this->Handle(RemoveTarget{command.incarnation});
+  if (this->IsRetired(command.incarnation)) return outcome;
+  this->retired.push_back(command.incarnation);
+  this->last_retired[command.incarnation.id] = command.incarnation.number;
+  if (this->retired.size() <= kMaxRetired) return outcome;
+  const TargetIncarnation oldest = this->retired.front();
+  this->retired.pop_front();
+  const auto last = this->last_retired.find(oldest.id);
+  if (last->second == oldest.number) this->last_retired.erase(last);
+  return outcome;
+}
+
+bool WorkloadState::IsRetired(const TargetIncarnation& incarnation) const {
+  const auto last = this->last_retired.find(incarnation.id);
+  return last != this->last_retired.end() && incarnation.number <= last->second;
+}
+
 Outcome WorkloadState::Handle(const RunChanges& command) {
   for (const End& end : command.ends) {
     if (end.number > 0) {
@@ -319,9 +351,21 @@
   return &job->spec.steps[ref.step];
 }
 
+// The two functions below are called for each row of each list, so they copy no reference.
+
+const StepSpec* WorkloadState::SpecOf(const TaskRef& ref) const {
+  const Job* job = this->FindJob(ref.job);
+  if (job == nullptr || ref.step >= job->spec.steps.size()) return nullptr;
+  return &job->spec.steps[ref.step];
+}
+
 const Task* WorkloadState::FindTask(const TaskRef& ref) const {
-  const Step* step = this->FindStep(ref.Step());
-  return step == nullptr || ref.index >= step->tasks.size() ? nullptr : &step->tasks[ref.index];
+  const Job* job = this->FindJob(ref.job);
+  if (job == nullptr) return nullptr;
+  const auto open = job->open.find(ref.occurrence);
+  if (open == job->open.end() || ref.step >= open->second.size()) return nullptr;
+  const Step& step = open->second[ref.step];
+  return ref.index >= step.tasks.size() ? nullptr : &step.tasks[ref.index];
 }
 
 std::uint64_t WorkloadState::LastChangeOf(const std::string& target_id) const {
@@ -348,11 +392,12 @@
   std::ranges::sort(record.jobs, {}, &Job::id);
   for (const auto& [id, target] : this->targets) record.targets.push_back(target);
   record.finished.assign(this->finished.begin(), this->finished.end());
+  record.retired.assign(this->retired.begin(), this->retired.end());
   return wire::EncodeRecord(record);
 }
 
 bool WorkloadState::Restore(std::string_view snapshot) {
-  auto record = wire::DecodeRecord<SnapshotRecord>(snapshot);
+  auto record = DecodeSnapshot(snapshot);
   if (!record) return false;
   this->declaration = std::move(record->declaration);
   this->jobs.clear();
@@ -366,11 +411,16 @@
     this->targets.emplace(id, std::move(target));
   }
   this->finished.assign(record->finished.begin(), record->finished.end());
+  this->retired.assign(record->retired.begin(), record->retired.end());
   this->RebuildIndexes();
   return true;
 }
 
 void WorkloadState::RebuildIndexes() {
+  this->last_retired.clear();
+  for (const TargetIncarnation& target : this->retired) {
+    this->last_retired[target.id] = target.number;
+  }
   this->target_changes.clear();
   for (const auto& [id, target] : this->targets) this->NoteChangeOf(id);
   this->ready.clear();
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -25,6 +25,9 @@
  public:
   /// Final jobs are kept for at least this long, by the leaders' time of day.
   static constexpr std::int64_t kRetentionMs = 600'000;
+  /// Number of targets that have left of which the incarnation is kept. Delayed announcements
+  /// arrive seconds later; at 1,100 departures a day these are those of several days.
+  static constexpr std::size_t kMaxRetired = 4'096;
 
   Outcome Apply(const Command& command);
 
@@ -36,6 +39,7 @@
   [[nodiscard]] const Job* FindJob(const JobId& id) const;
   [[nodiscard]] const Step* FindStep(const StepRef& ref) const;
   [[nodiscard]] const StepSpec* SpecOf(const StepRef& ref) const;
+  [[nodiscard]] const StepSpec* SpecOf(const TaskRef& ref) const;
   [[nodiscard]] const Task* FindTask(const TaskRef& ref) const;
   [[nodiscard]] const std::map<std::string, TargetRecord>& Targets() const { return this->targets; }
   /// Steps that have waiting tasks and whose predecessors are done.
@@ -59,6 +63,8 @@
   Outcome Handle(const Cancel& command);
   Outcome Handle(const RegisterTarget& command);
   Outcome Handle(const RemoveTarget& command);
+  Outcome Handle(const RetireTarget& command);
+  [[nodiscard]] bool IsRetired(const TargetIncarnation& incarnation) const;
   Outcome Handle(const RunChanges& command);
   void ApplyStart(const Start& start);
   void ApplyEnd(const End& end, std::int64_t at_ms);
@@ -78,9 +84,11 @@
   Declaration declaration;
   std::unordered_map<JobId, Job> jobs;
   std::map<std::string, TargetRecord> targets;
-  std::deque<JobId> finished;  ///< in the order in which they became final
+  std::deque<JobId> finished;             ///< in the order in which they became final
+  std::deque<TargetIncarnation> retired;  ///< in the order in which they left
 
   // Indexes derived from the members above; not in snapshots.
+  std::unordered_map<std::string, IncarnationNumber> last_retired;
   std::set<StepRef> ready;
   std::map<TargetIncarnation, std::set<TaskRef>> running_on;
   std::set<JobId> scheduled_jobs;
--- a/tests/auto/controller/tst_caller_messages.cc
+++ b/tests/auto/controller/tst_caller_messages.cc
@@ -38,5 +38,18 @@
   }
 }
 
+// Guards against an edge VM that ends on a reply with an outcome it has no HTTP status for.
+TEST_CASE("messages with unknown values are refused") {
+  RelayReply reply;
+  reply.reply.outcome = static_cast<CallerOutcome>(200);
+  CHECK_FALSE(DecodeRelayReply(EncodeRelayReply(reply)));
+  reply.reply.outcome = CallerOutcome::kState;
+  reply.reply.state = static_cast<workload::JobState>(200);
+  CHECK_FALSE(DecodeRelayReply(EncodeRelayReply(reply)));
+  CallerRequest request;
+  request.verb = static_cast<CallerVerb>(200);
+  CHECK_FALSE(DecodeCallerRequest(EncodeCallerRequest(request)));
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
--- a/tests/auto/controller/tst_delegation.cc
+++ b/tests/auto/controller/tst_delegation.cc
@@ -1,6 +1,7 @@
 // Delegated calls: single decisions of both sides, and simulated leaders whose delegates freeze,
 // end, are cut off one way or both, and outlive a change of the leader.
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,7 @@
   batch.fence = kLeader.fence;
   batch.delegate_incarnation = kIncarnation;
   batch.delegate_clock_us = At(ms).time_since_epoch().count();
-  batch.takes_reports = true;
+  batch.delegates = {{"z", "self"}};
   batch.calls.push_back({1, {"10.0.0.1:80", {"t", 1}, "z"}, StartRequest{}});
   return batch;
 }
@@ -133,6 +134,29 @@
   CHECK(verdicts.back());
 }
 
+// Guards against targets that all announce themselves to one VM: after a change of the leader 562
+// connections met at one of five on vp-kochi-fleet-large, trouble-2, and new ones had to wait.
+TEST_CASE("targets are divided by failure domain, and the rest evenly") {
+  const std::vector<DelegateAddress> delegates{{"a", "a1"}, {"b", "b1"}, {"c", "c1"}, {"c", "c2"}};
+  CHECK(ChooseDelegate({}, "t", "a").empty());
+  std::map<std::string, int> own;
+  std::map<std::string, int> rest;
+  for (int i = 0; i < 1'100; ++i) {
+    const std::string id = "i-" + std::to_string(i);
+    CHECK(ChooseDelegate(delegates, id, "a") == "a1");
+    ++own[ChooseDelegate(delegates, id, "c")];
+    const std::string chosen = ChooseDelegate(delegates, id, "leader's own");
+    ++rest[chosen];
+    // The loss of another delegate moves nothing.
+    std::vector<DelegateAddress> fewer = delegates;
+    std::erase_if(fewer, [](const auto& entry) { return entry.address == "b1"; });
+    if (chosen != "b1") CHECK(ChooseDelegate(fewer, id, "leader's own") == chosen);
+  }
+  CHECK(own.size() == 2);
+  CHECK(rest.size() == 4);
+  for (const auto& [name, count] : rest) CHECK(count < 2 * 1'100 / 4);
+}
+
 // Guards against a malformed message of a replica that ends the process, or names an unknown
 // status.
 TEST_CASE("malformed batches are refused as a whole") {
--- a/tests/auto/workload/tst_workload_state.cc
+++ b/tests/auto/workload/tst_workload_state.cc
@@ -319,5 +319,57 @@
   }
 }
 
+// Guards against a target that has left and is used again: an announcement that was delayed on its
+// way arrives after the departure, or after a replica was restarted from a snapshot.
+TEST_CASE("a target that has left isn't registered again by a late announcement") {
+  TargetRecord target;
+  target.incarnation = {"t", 100};
+  target.address = "10.0.0.1:80";
+  WorkloadState state;
+  state.Apply(RegisterTarget{target});
+  CHECK(state.Apply(RetireTarget{target.incarnation}) == Outcome::kApplied);
+  CHECK(state.Apply(RegisterTarget{target}) == Outcome::kAlreadyThere);
+  WorkloadState restarted;
+  REQUIRE(restarted.Restore(state.Snapshot()));
+  for (WorkloadState* replica : {&state, &restarted}) {
+    replica->Apply(RegisterTarget{target});
+    CHECK(replica->Targets().empty());
+  }
+  // Its next process is another target.
+  target.incarnation.number = 101;
+  restarted.Apply(RegisterTarget{target});
+  CHECK(restarted.Targets().size() == 1);
+}
+
+// Guards against a target that is refused for good after it was removed by mistake.
+TEST_CASE("a target that was only removed registers again") {
+  TargetRecord target;
+  target.incarnation = {"t", 100};
+  WorkloadState state;
+  state.Apply(RegisterTarget{target});
+  state.Apply(RemoveTarget{target.incarnation});
+  state.Apply(RegisterTarget{target});
+  CHECK(state.Targets().size() == 1);
+}
+
+// Guards against a state that grows with each target that ever left.
+TEST_CASE("the number of targets that have left is bounded") {
+  WorkloadState state;
+  for (std::size_t i = 0; i < WorkloadState::kMaxRetired + 100; ++i) {
+    state.Apply(RetireTarget{{"t" + std::to_string(i % 5'000), static_cast<std::int64_t>(i)}});
+  }
+  const std::string full = state.Snapshot();
+  state.Apply(RetireTarget{{"t9", 9'999}});
+  CHECK(state.Snapshot().size() <= full.size() + 8);
+}
+
+// Guards against a replica that doesn't start because an earlier version wrote its snapshot.
+TEST_CASE("a snapshot without targets that have left can be read") {
+  // An empty declaration, and no jobs, targets and finished jobs.
+  const std::string old("\x94\x94\x00\x90\x90\xa0\x90\x90\x90", 9);
+  WorkloadState state;
+  CHECK(state.Restore(old));
+}
+
 }  // namespace
 }  // namespace mangoroad::workload
