Test delegates over sockets, and make their threshold a setting of the core

Cause: delegation was tested in virtual time only, since the test of the control listener has far fewer than 200 targets.

Change: CoreSettings carries the DelegationSettings; three core VMs in one process confirm announcements for each other, direct a target away from the leader, and don't register a target again that has left.

Conclusion: no change of behaviour at the default threshold.

--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -97,11 +97,13 @@
                     [this](const consensus::ReplicaId& to, std::string message) {
                       this->SendToReplica(to, {kRaftKind, std::move(message)});
                     }),
-        delegation(event_loop, calls, this->state_machine.state, this->settings.failure_domain,
-                   this->MakeReportHandlers(),
-                   [this](const std::string& address, wire::Envelope envelope) {
-                     return this->SendTo(address, envelope);
-                   }),
+        delegation(
+            event_loop, calls, this->state_machine.state, this->settings.failure_domain,
+            this->MakeReportHandlers(),
+            [this](const std::string& address, wire::Envelope envelope) {
+              return this->SendTo(address, envelope);
+            },
+            this->settings.delegation),
         run_manager(this->state_machine.state, this->delegation.Calls(), *this,
                     this->settings.run_manager),
         replica_manager({.voters = 2 * this->settings.tolerated_failures + 1}) {}
--- a/src/libs/controller/core_node.h
+++ b/src/libs/controller/core_node.h
@@ -11,6 +11,7 @@
 #include "base/name_table.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "controller/call_delegator.h"
 #include "controller/caller_messages.h"
 #include "controller/run_manager.h"
 #include "entry/entry_error.h"
@@ -36,6 +37,7 @@
   /// Keys of the connections between replicas, in the format of wire::KeyRing.
   std::string link_keys;
   RunManagerSettings run_manager;
+  DelegationSettings delegation;
   /// Open connections of edge VMs.
   std::size_t max_relay_connections = 1'000;
 };
--- a/src/libs/controller/delegation.cc
+++ b/src/libs/controller/delegation.cc
@@ -22,10 +22,11 @@
   net::PostScope posts{this->loop};
 
   Private(net::EventLoop& event_loop, TargetCalls& calls, const workload::WorkloadState& state,
-          std::string failure_domain, ReportHandlers handlers, Delegation::Send send_envelope)
+          std::string failure_domain, ReportHandlers handlers, Delegation::Send send_envelope,
+          DelegationSettings settings)
       : loop(event_loop),
         send(std::move(send_envelope)),
-        delegator(calls, *this, std::move(handlers)),
+        delegator(calls, *this, std::move(handlers), settings),
         delegate(calls, *this, state, std::move(failure_domain), event_loop.RandomBits()) {}
 
   bool SendCalls(const std::string& to, const CallBatch& batch) override {
@@ -46,9 +47,9 @@
 
 Delegation::Delegation(net::EventLoop& loop, TargetCalls& calls,
                        const workload::WorkloadState& state, std::string failure_domain,
-                       ReportHandlers handlers, Send send)
+                       ReportHandlers handlers, Send send, DelegationSettings settings)
     : d(std::make_unique<Private>(loop, calls, state, std::move(failure_domain),
-                                  std::move(handlers), std::move(send))) {}
+                                  std::move(handlers), std::move(send), settings)) {}
 
 Delegation::~Delegation() = default;
 
--- a/src/libs/controller/delegation.h
+++ b/src/libs/controller/delegation.h
@@ -23,7 +23,8 @@
   using Send = std::function<bool(const std::string& address, wire::Envelope envelope)>;
 
   Delegation(net::EventLoop& loop, TargetCalls& calls, const workload::WorkloadState& state,
-             std::string failure_domain, ReportHandlers handlers, Send send);
+             std::string failure_domain, ReportHandlers handlers, Send send,
+             DelegationSettings settings);
   ~Delegation();
   Delegation(const Delegation&) = delete;
   Delegation& operator=(const Delegation&) = delete;
--- a/tests/auto/platform/tst_control_listener.cc
+++ b/tests/auto/platform/tst_control_listener.cc
@@ -62,7 +62,7 @@
 
 class Cluster {
  public:
-  Cluster() {
+  explicit Cluster(controller::DelegationSettings delegation = {}) {
     const std::vector<std::string> ips{"127.0.0.21", "127.0.0.22", "127.0.0.23"};
     for (std::size_t i = 0; i < ips.size(); ++i) {
       controller::CoreSettings settings;
@@ -71,6 +71,8 @@
       settings.relay_port = kRelayPort;
       settings.seeds = ips;
       settings.is_first_start = true;
+      settings.failure_domain = "z" + std::to_string(i);
+      settings.delegation = delegation;
       settings.data_folder = this->folder.Path() + "/" + std::to_string(i);
       std::filesystem::create_directories(settings.data_folder);
       settings.link_keys =
@@ -260,6 +262,35 @@
   CHECK(cluster.Send(leader, HttpMethod::kDelete, path).status == 200);
 }
 
+// Guards against a fleet whose announcements all meet at the leader, and against an announcement
+// that another VM confirms although the leader doesn't know of the change.
+TEST_CASE("with enough targets, other VMs confirm announcements") {
+  Cluster cluster({.min_targets = 1});
+  CoreVm& leader = *cluster.Leader();
+  const CoreVm& follower = cluster.Follower();
+  const std::string path = "/api/instances/i-1";
+  const auto await_status = [&](const CoreVm& vm, const std::string& body, int status) {
+    Cluster::Response response;
+    const base::TimePoint until = cluster.loop.Now() + std::chrono::seconds(5);
+    do {
+      cluster.RunFor(milliseconds(100));
+      response = cluster.Send(vm, HttpMethod::kPut, path, body);
+    } while (response.status != status && cluster.loop.Now() < until);
+    CHECK(response.status == status);
+    return response;
+  };
+  await_status(leader, Announcement(1, "ready"), 200);
+  await_status(follower, Announcement(2, "ready"), 200);
+  const auto directed = await_status(leader, Announcement(3, "ready"), 200);
+  CHECK(directed.body.find(leader.ip) == std::string::npos);
+  // The change reaches the leader's state before it is confirmed.
+  await_status(follower, Announcement(4, "draining"), 200);
+  CHECK(cluster.Send(leader, HttpMethod::kDelete, path).status == 200);
+  // A late announcement of the target that has left is confirmed and has no effect.
+  await_status(leader, Announcement(5, "ready"), 200);
+  await_status(follower, Announcement(6, "ready"), 307);
+}
+
 // Guards against a path or method that is mistaken for another one.
 TEST_CASE("unknown paths and methods are refused") {
   Cluster cluster;
