Handle the replicated log before all other events of the loop

Cause: messages of the log, ends of syncs and timers of the log waited behind requests and responses.

Change: events are urgent or normal; libevent looks for urgent ones after 16 normal ones. Links between replicas, syncs and the log's timers are urgent. Delegated calls and results share the links but wait for their turn. The line about the leader's load has the number and the mean time of commits.

--- a/src/libs/consensus/progress.cc
+++ b/src/libs/consensus/progress.cc
@@ -64,7 +64,8 @@
 }
 
 bool Progress::IsCaughtUp(base::TimePoint now, base::Duration max_round) const {
-  return this->last_round_was_short && now - this->catch_up_round->start <= max_round;
+  return this->catch_up_round && this->last_round_was_short &&
+         now - this->catch_up_round->start <= max_round;
 }
 
 }  // namespace mangoroad::consensus::internal
--- a/src/libs/controller/call_delegator.cc
+++ b/src/libs/controller/call_delegator.cc
@@ -221,8 +221,10 @@
   std::vector<DelegateAddress> next;
   if (this->leading && this->reports.target_count() >= this->settings.min_targets) {
     for (const auto& [name, delegate] : this->delegates) {
-      if (this->IsReached(now, delegate) && now >= delegate.avoid_until)
+      const bool is_avoided = now < delegate.avoid_until;
+      if (this->IsReached(now, delegate) && !is_avoided) {
         next.push_back({delegate.failure_domain, name});
+      }
     }
   }
   if (next == this->usable) return;
--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -82,6 +82,9 @@
   base::TimePoint leader_timer_due;
   base::Duration max_loop_delay{};
   base::Duration logged_processor_time{};
+  /// Proposals that have ended since the last log line, and the sum of their times.
+  std::int64_t commits = 0;
+  base::Duration commit_time{};
   dispatch::PlanningEffort logged_effort;
   base::TimePoint next_load_log_at;
   net::PostScope posts{this->loop};
@@ -100,7 +103,7 @@
         delegation(
             event_loop, calls, this->state_machine.state, this->settings.failure_domain,
             this->MakeReportHandlers(),
-            [this](const std::string& address, wire::Envelope envelope) {
+            [this](const std::string& address, const wire::Envelope& envelope) {
               return this->SendTo(address, envelope);
             },
             this->settings.delegation),
@@ -125,8 +128,15 @@
   metrics::ActivityMeter& Meter() override { return this->meter; }
 
   void ProposeWith(const workload::Command& command, entry::LogService::OnProposal done) {
-    this->log_service.Propose(workload::EncodeCommand(command), std::move(done),
-                              entry::IfLost::kReport);
+    this->log_service.Propose(
+        workload::EncodeCommand(command),
+        [this, proposed_at = this->loop.Now(),
+         done = std::move(done)](const entry::ProposalResult& result) {
+          this->commits += 1;
+          this->commit_time += this->loop.Now() - proposed_at;
+          done(result);
+        },
+        entry::IfLost::kReport);
   }
   std::string PeerName(std::string_view ip) const {
     return std::string(ip) + ":" + std::to_string(this->settings.peer_port);
@@ -193,8 +203,9 @@
     this->log_service.OnMessage(envelope.payload);
   } else if (envelope.kind == kJoinKind) {
     this->OnJoin(envelope.payload);
-  } else if (!this->delegation.OnEnvelope(from, envelope, this->OtherLeader())) {
-    log::Warning(log::Category::kNet, "unknown kind of message", {{"kind", envelope.kind}});
+  } else if (const std::string kind = envelope.kind;
+             !this->delegation.OnEnvelope(from, std::move(envelope), this->OtherLeader())) {
+    log::Warning(log::Category::kNet, "unknown kind of message", {{"kind", kind}});
   }
 }
 
@@ -221,6 +232,8 @@
   this->next_load_log_at = now + kLoadLogInterval;
   const auto totals = this->meter.Take();
   const base::Duration delay = std::exchange(this->max_loop_delay, {});
+  const std::int64_t ended = std::exchange(this->commits, 0);
+  const base::Duration spent = std::exchange(this->commit_time, {});
   const base::Duration processor_time = this->loop.ProcessorTime();
   const base::Duration used =
       processor_time - std::exchange(this->logged_processor_time, processor_time);
@@ -237,6 +250,8 @@
   log::Info(log::Category::kPlacement, "leader load",
             {{"loop_delay_ms", base::ToMilliseconds(delay)},
              {"processor_ms", base::ToMilliseconds(used)},
+             {"commits", ended},
+             {"mean_commit_ms", base::ToMilliseconds(ended == 0 ? spent : spent / ended)},
              {"plan_ms", ms(Activity::kPlan)},
              {"plans", plans.rounds - before.rounds},
              {"measured_targets", plans.measured_targets - before.measured_targets},
--- a/src/libs/controller/delegation.cc
+++ b/src/libs/controller/delegation.cc
@@ -1,5 +1,6 @@
 #include "controller/delegation.h"
 
+#include <deque>
 #include <utility>
 
 #include "log/log.h"
@@ -14,9 +15,19 @@
 }  // namespace
 
 struct Delegation::Private : DelegationLink {
+  struct Received {
+    std::string from;
+    wire::Envelope envelope;
+  };
+
   net::EventLoop& loop;
   Delegation::Send send;
   bool flush_posted = false;
+  bool handling_posted = false;
+  KnownLeader leader;
+  /// Messages not handled yet. They share the links with the replicated log, whose messages are
+  /// urgent; these wait their turn among the other events.
+  std::deque<Received> waiting;
   CallDelegator delegator;
   CallDelegate delegate;
   net::PostScope posts{this->loop};
@@ -29,6 +40,31 @@
         delegator(calls, *this, std::move(handlers), settings),
         delegate(calls, *this, state, std::move(failure_domain), event_loop.RandomBits()) {}
 
+  void PostHandling() {
+    if (std::exchange(this->handling_posted, true)) return;
+    this->posts.Post([this] {
+      this->handling_posted = false;
+      const Received received = std::move(this->waiting.front());
+      this->waiting.pop_front();
+      if (!this->waiting.empty()) this->PostHandling();
+      this->Handle(received);
+    });
+  }
+  void Handle(const Received& received) {
+    const std::string& payload = received.envelope.payload;
+    const bool is_calls = received.envelope.kind == kCallsKind;
+    const auto calls = is_calls ? DecodeCallBatch(payload) : std::nullopt;
+    const auto results = is_calls ? std::nullopt : DecodeResultBatch(payload);
+    if (calls) {
+      this->delegate.OnCalls(this->loop.Now(), received.from, *calls, this->leader);
+    } else if (results) {
+      this->delegator.OnResults(this->loop.Now(), received.from, *results);
+    } else {
+      log::Error(
+          log::Category::kNet, "malformed message ignored",
+          {{"from", received.from}, {"kind", received.envelope.kind}, {"bytes", payload.size()}});
+    }
+  }
   bool SendCalls(const std::string& to, const CallBatch& batch) override {
     return this->send(to, {kCallsKind, EncodeCallBatch(batch)});
   }
@@ -57,30 +93,18 @@
 
 CallDelegate& Delegation::Delegate() { return this->d->delegate; }
 
-bool Delegation::OnEnvelope(const std::string& from, const wire::Envelope& envelope,
+bool Delegation::OnEnvelope(const std::string& from, wire::Envelope envelope,
                             const KnownLeader& leader) {
-  const auto malformed = [&] {
-    log::Error(log::Category::kNet, "malformed message ignored",
-               {{"from", from}, {"kind", envelope.kind}, {"bytes", envelope.payload.size()}});
-    return true;
-  };
-  if (envelope.kind == kCallsKind) {
-    const auto batch = DecodeCallBatch(envelope.payload);
-    if (!batch) return malformed();
-    this->d->delegate.OnCalls(this->d->loop.Now(), from, *batch, leader);
-    return true;
-  }
-  if (envelope.kind == kResultsKind) {
-    const auto batch = DecodeResultBatch(envelope.payload);
-    if (!batch) return malformed();
-    this->d->delegator.OnResults(this->d->loop.Now(), from, *batch);
-    return true;
-  }
-  return false;
+  if (envelope.kind != kCallsKind && envelope.kind != kResultsKind) return false;
+  this->d->leader = leader;
+  this->d->waiting.push_back({from, std::move(envelope)});
+  this->d->PostHandling();
+  return true;
 }
 
 void Delegation::Tick(const KnownLeader& leader) {
   const base::TimePoint now = this->d->loop.Now();
+  this->d->leader = leader;
   this->d->delegate.Tick(now, leader);
   this->d->delegator.Tick(now);
 }
--- a/src/libs/controller/delegation.h
+++ b/src/libs/controller/delegation.h
@@ -20,7 +20,7 @@
 class Delegation {
  public:
   /// Sends an envelope to the replica at an address; false when it is certainly not sent.
-  using Send = std::function<bool(const std::string& address, wire::Envelope envelope)>;
+  using Send = std::function<bool(const std::string& address, const wire::Envelope& envelope)>;
 
   Delegation(net::EventLoop& loop, TargetCalls& calls, const workload::WorkloadState& state,
              std::string failure_domain, ReportHandlers handlers, Send send,
@@ -33,8 +33,7 @@
   [[nodiscard]] CallDelegator& Calls();
   [[nodiscard]] CallDelegate& Delegate();
   /// False when the envelope isn't about delegated calls.
-  bool OnEnvelope(const std::string& from, const wire::Envelope& envelope,
-                  const KnownLeader& leader);
+  bool OnEnvelope(const std::string& from, wire::Envelope envelope, const KnownLeader& leader);
   /// Must be called every 50 ms.
   void Tick(const KnownLeader& leader);
 
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -247,7 +247,7 @@
 /// All proposals and messages of one round of the loop share one sync.
 void LogService::Private::ScheduleFlush() {
   if (std::exchange(this->flush_posted, true)) return;
-  this->posts.Post([this] { this->Flush(); });
+  this->posts.Post([this] { this->Flush(); }, net::Urgency::kUrgent);
 }
 
 void LogService::Private::Tick() {
@@ -297,7 +297,8 @@
   config.durable = this->d->options.folder.has_value();
   this->d->replica = std::make_unique<consensus::Replica>(std::move(config), std::move(restored),
                                                           this->d->loop.Now());
-  this->d->tick_timer = this->d->loop.Every(kTickInterval, [this] { this->d->Tick(); });
+  this->d->tick_timer =
+      this->d->loop.Every(kTickInterval, [this] { this->d->Tick(); }, net::Urgency::kUrgent);
   return base::Done{};
 }
 
--- a/src/libs/net/background_thread.cc
+++ b/src/libs/net/background_thread.cc
@@ -29,6 +29,7 @@
           static_cast<Private*>(self)->RunCompletions();
         },
         this);
+    event_priority_set(this->wake_event, PriorityOf(Urgency::kUrgent));
     event_add(this->wake_event, nullptr);
     this->thread = std::thread([this] { this->RunWork(); });
   }
--- a/src/libs/net/connection.cc
+++ b/src/libs/net/connection.cc
@@ -9,6 +9,8 @@
 #include <cstring>
 #include <utility>
 
+#include "net/event_loop.h"
+
 namespace mangoroad::net::internal {
 namespace {
 
@@ -80,6 +82,7 @@
         static_cast<Connection*>(self)->OnEvent(what);
       },
       this);
+  bufferevent_priority_set(this->buffers.get(), PriorityOf(Urgency::kUrgent));
   bufferevent_enable(this->buffers.get(), EV_READ | EV_WRITE);
 }
 
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -46,9 +46,35 @@
   callback();
 }
 
+/// A posted callback and the event that runs it.
+struct Posted {
+  EventLoop::Callback callback;
+  event* handle = nullptr;
+
+  explicit Posted(EventLoop::Callback posted_callback) : callback(std::move(posted_callback)) {}
+  Posted(const Posted&) = delete;
+  Posted& operator=(const Posted&) = delete;
+  ~Posted() {
+    if (this->handle != nullptr) event_free(this->handle);
+  }
+};
+
 void RunPosted(evutil_socket_t /*fd*/, std::int16_t /*what*/, void* argument) {
-  const std::unique_ptr<EventLoop::Callback> callback(static_cast<EventLoop::Callback*>(argument));
-  (*callback)();
+  const std::unique_ptr<Posted> posted(static_cast<Posted*>(argument));
+  posted->callback();
+}
+
+/// Normal events in a row after which the loop looks for urgent ones. Each look is a system call.
+constexpr int kNormalEventsInARow = 16;
+
+event_base* MakeBase() {
+  event_config* config = event_config_new();
+  event_config_set_max_dispatch_interval(config, nullptr, kNormalEventsInARow,
+                                         PriorityOf(Urgency::kNormal));
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  event_base_priority_init(base, PriorityOf(Urgency::kNormal) + 1);
+  return base;
 }
 
 base::Duration ReadClock(clockid_t clock) {
@@ -72,7 +98,7 @@
   // Writing to a connection that the peer closed must give an error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);  // NOLINT(cert-err33-c)
   event_set_log_callback(LogLibevent);
-  this->d->base = event_base_new();
+  this->d->base = MakeBase();
 }
 
 EventLoop::~EventLoop() { event_base_free(this->d->base); }
@@ -99,31 +125,38 @@
   timer.d = std::make_unique<Timer::Private>();
   timer.d->callback = std::move(callback);
   timer.d->handle = event_new(this->d->base, -1, 0, RunCallback, &timer.d->callback);
+  event_priority_set(timer.d->handle, PriorityOf(Urgency::kNormal));
   const timeval time = ToTimeval(delay);
   event_add(timer.d->handle, &time);
   return timer;
 }
 
-Timer EventLoop::Every(base::Duration interval, Callback callback) {
+Timer EventLoop::Every(base::Duration interval, Callback callback, Urgency urgency) {
   Timer timer;
   timer.d = std::make_unique<Timer::Private>();
   timer.d->callback = std::move(callback);
   timer.d->handle = event_new(this->d->base, -1, EV_PERSIST, RunCallback, &timer.d->callback);
+  event_priority_set(timer.d->handle, PriorityOf(urgency));
   const timeval time = ToTimeval(interval);
   event_add(timer.d->handle, &time);
   return timer;
 }
 
-void EventLoop::Post(Callback callback) {
-  const timeval now{};
-  event_base_once(this->d->base, -1, EV_TIMEOUT, RunPosted, new Callback(std::move(callback)),
-                  &now);
+void EventLoop::Post(Callback callback, Urgency urgency) {
+  auto* posted = new Posted(std::move(callback));  // RunPosted() deletes it.
+  event* handle = event_new(this->d->base, -1, 0, RunPosted, posted);
+  posted->handle = handle;
+  event_priority_set(handle, PriorityOf(urgency));
+  // Unlike timers, activated events run in the order in which they were activated.
+  event_active(handle, EV_TIMEOUT, 1);
 }
 
-void PostScope::Post(EventLoop::Callback callback) {
-  this->loop.Post([watch = std::weak_ptr(this->alive), callback = std::move(callback)] {
-    if (!watch.expired()) callback();
-  });
+void PostScope::Post(EventLoop::Callback callback, Urgency urgency) {
+  this->loop.Post(
+      [watch = std::weak_ptr(this->alive), callback = std::move(callback)] {
+        if (!watch.expired()) callback();
+      },
+      urgency);
 }
 
 Timer EventLoop::OnSignal(int number, Callback callback) {
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -11,6 +11,13 @@
 
 namespace mangoroad::net {
 
+/// When the loop is behind, urgent events go before all others: the replicated log and what tells
+/// replicas that this one is alive must not wait behind requests.
+enum class Urgency : std::uint8_t { kUrgent, kNormal };
+
+/// Priority of libevent for events of `urgency`.
+constexpr int PriorityOf(Urgency urgency) { return static_cast<int>(urgency); }
+
 /// A timer that stops when this handle is destroyed.
 class Timer {
  public:
@@ -52,9 +59,10 @@
   /// Calls `callback` once after `delay`.
   [[nodiscard]] Timer After(base::Duration delay, Callback callback);
   /// Calls `callback` every `interval` until the handle is destroyed.
-  [[nodiscard]] Timer Every(base::Duration interval, Callback callback);
+  [[nodiscard]] Timer Every(base::Duration interval, Callback callback,
+                            Urgency urgency = Urgency::kNormal);
   /// Calls `callback` in the next round of the loop, whatever it captured; see PostScope.
-  void Post(Callback callback);
+  void Post(Callback callback, Urgency urgency = Urgency::kNormal);
   /// Calls `callback` for each signal `number` until the handle is destroyed.
   [[nodiscard]] Timer OnSignal(int number, Callback callback);
 
@@ -78,7 +86,7 @@
   PostScope& operator=(const PostScope&) = delete;
 
   /// Calls `callback` in the next round of the loop, unless this scope has ended.
-  void Post(EventLoop::Callback callback);
+  void Post(EventLoop::Callback callback, Urgency urgency = Urgency::kNormal);
 
  private:
   EventLoop& loop;
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -166,7 +166,7 @@
       this->CloseIdle(last);
       continue;
     }
-    const IdleConnection taken = *last;
+    IdleConnection taken = *last;
     pool.idle.pop_back();
     this->idle.erase(last);
     return taken;
--- a/tests/auto/net/tst_http.cc
+++ b/tests/auto/net/tst_http.cc
@@ -279,6 +279,7 @@
 TEST_CASE("at its limit a server closes idle connections and serves new ones") {
   Fixture fixture(Echo, {.max_connections = 4});
   std::vector<std::unique_ptr<SilentConnection>> silent;
+  silent.reserve(8);
   for (int i = 0; i < 8; ++i) {
     silent.push_back(std::make_unique<SilentConnection>(fixture.address));
     CHECK(silent.back()->connected);
@@ -294,6 +295,7 @@
 TEST_CASE("without descriptors accepting pauses, and resumes when there are some") {
   Fixture fixture(Echo);
   std::vector<std::unique_ptr<SilentConnection>> silent;
+  silent.reserve(10);
   for (int i = 0; i < 10; ++i) {
     silent.push_back(std::make_unique<SilentConnection>(fixture.address));
   }
