Look up the known leader when a delegated batch is handled, not when it arrives

Batches wait for their turn in the loop; they were checked against the leader known at their arrival or at the last tick, so that for up to 50 ms a delegate could have sent calls of a leader of which its own replica already knew the successor. The fence makes them harmless at the targets, but the check is meant to be right before sending.

Change: Delegation asks its replica for the leader when it handles a batch.

No test shows the window: it needs real links.

--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -106,7 +106,7 @@
             [this](const std::string& address, const wire::Envelope& envelope) {
               return this->SendTo(address, envelope);
             },
-            this->settings.delegation),
+            [this] { return this->OtherLeader(); }, this->settings.delegation),
         run_manager(this->state_machine.state, this->delegation.Calls(), *this,
                     this->settings.run_manager),
         replica_manager({.voters = 2 * this->settings.tolerated_failures + 1}) {}
@@ -204,7 +204,7 @@
   } else if (envelope.kind == kJoinKind) {
     this->OnJoin(envelope.payload);
   } else if (const std::string kind = envelope.kind;
-             !this->delegation.OnEnvelope(from, std::move(envelope), this->OtherLeader())) {
+             !this->delegation.OnEnvelope(from, std::move(envelope))) {
     log::Warning(log::Category::kNet, "unknown kind of message", {{"kind", kind}});
   }
 }
@@ -297,7 +297,7 @@
     this->delegation.Calls().BeginTerm(this->loop.Now(), status.term);
     this->run_manager.BeginTerm(this->loop.Now(), status.term);
   }
-  this->delegation.Tick(this->OtherLeader());
+  this->delegation.Tick();
   this->run_manager.Tick(this->loop.Now());
 }
 
--- a/src/libs/controller/delegation.cc
+++ b/src/libs/controller/delegation.cc
@@ -22,9 +22,9 @@
 
   net::EventLoop& loop;
   Delegation::Send send;
+  Delegation::FindLeader find_leader;
   bool flush_posted = false;
   bool handling_posted = false;
-  KnownLeader leader;
   /// Messages not handled yet. They share the links with the replicated log, whose messages are
   /// urgent; these wait their turn among the other events.
   std::deque<Received> waiting;
@@ -34,9 +34,10 @@
 
   Private(net::EventLoop& event_loop, TargetCalls& calls, const workload::WorkloadState& state,
           std::string failure_domain, ReportHandlers handlers, Delegation::Send send_envelope,
-          DelegationSettings settings)
+          Delegation::FindLeader leader_finder, DelegationSettings settings)
       : loop(event_loop),
         send(std::move(send_envelope)),
+        find_leader(std::move(leader_finder)),
         delegator(calls, *this, std::move(handlers), settings),
         delegate(calls, *this, state, std::move(failure_domain), event_loop.RandomBits()) {}
 
@@ -56,7 +57,7 @@
     const auto calls = is_calls ? DecodeCallBatch(payload) : std::nullopt;
     const auto results = is_calls ? std::nullopt : DecodeResultBatch(payload);
     if (calls) {
-      this->delegate.OnCalls(this->loop.Now(), received.from, *calls, this->leader);
+      this->delegate.OnCalls(this->loop.Now(), received.from, *calls, this->find_leader());
     } else if (results) {
       this->delegator.OnResults(this->loop.Now(), received.from, *results);
     } else {
@@ -83,9 +84,11 @@
 
 Delegation::Delegation(net::EventLoop& loop, TargetCalls& calls,
                        const workload::WorkloadState& state, std::string failure_domain,
-                       ReportHandlers handlers, Send send, DelegationSettings settings)
+                       ReportHandlers handlers, Send send, FindLeader find_leader,
+                       DelegationSettings settings)
     : d(std::make_unique<Private>(loop, calls, state, std::move(failure_domain),
-                                  std::move(handlers), std::move(send), settings)) {}
+                                  std::move(handlers), std::move(send), std::move(find_leader),
+                                  settings)) {}
 
 Delegation::~Delegation() = default;
 
@@ -93,19 +96,16 @@
 
 CallDelegate& Delegation::Delegate() { return this->d->delegate; }
 
-bool Delegation::OnEnvelope(const std::string& from, wire::Envelope envelope,
-                            const KnownLeader& leader) {
+bool Delegation::OnEnvelope(const std::string& from, wire::Envelope envelope) {
   if (envelope.kind != kCallsKind && envelope.kind != kResultsKind) return false;
-  this->d->leader = leader;
   this->d->waiting.push_back({from, std::move(envelope)});
   this->d->PostHandling();
   return true;
 }
 
-void Delegation::Tick(const KnownLeader& leader) {
+void Delegation::Tick() {
   const base::TimePoint now = this->d->loop.Now();
-  this->d->leader = leader;
-  this->d->delegate.Tick(now, leader);
+  this->d->delegate.Tick(now, this->d->find_leader());
   this->d->delegator.Tick(now);
 }
 
--- a/src/libs/controller/delegation.h
+++ b/src/libs/controller/delegation.h
@@ -21,9 +21,12 @@
  public:
   /// Sends an envelope to the replica at an address; false when it is certainly not sent.
   using Send = std::function<bool(const std::string& address, const wire::Envelope& envelope)>;
+  /// The leader that the replica knows at the moment of the call.
+  using FindLeader = std::function<KnownLeader()>;
 
+  /// All references must outlive this object.
   Delegation(net::EventLoop& loop, TargetCalls& calls, const workload::WorkloadState& state,
-             std::string failure_domain, ReportHandlers handlers, Send send,
+             std::string failure_domain, ReportHandlers handlers, Send send, FindLeader find_leader,
              DelegationSettings settings);
   ~Delegation();
   Delegation(const Delegation&) = delete;
@@ -33,9 +36,9 @@
   [[nodiscard]] CallDelegator& Calls();
   [[nodiscard]] CallDelegate& Delegate();
   /// False when the envelope isn't about delegated calls.
-  bool OnEnvelope(const std::string& from, wire::Envelope envelope, const KnownLeader& leader);
+  bool OnEnvelope(const std::string& from, wire::Envelope envelope);
   /// Must be called every 50 ms.
-  void Tick(const KnownLeader& leader);
+  void Tick();
 
  private:
   struct Private;
