Don't start a run again that was given up

The trace: a failure domain was cut, all runs of a target were given up when its lease was surely over, and the target came back before the log had that. Its answer to another call made it reachable, so the start was sent again with a new deadline; the task ran there while its next run began elsewhere. The window is the time of a commit: 14 ms on an idle leader, hundreds of ms on one that gets too little processor time.

Change: SendRequestsTo sends no start of a run that was given up.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -137,7 +137,9 @@
         if (this->SendStop(view, task, run.run)) run.stop_sent = now;
       }
     } else if (run.start_request == StartRequestState::kToSend) {
-      if (now >= run.requested_at) this->SendStart(now, view, task);
+      // A run that was given up is about to be replaced, so it must not begin any more.
+      const bool is_given_up = this->concluded.contains({task, run.run});
+      if (now >= run.requested_at && !is_given_up) this->SendStart(now, view, task);
       more = more || run.start_request == StartRequestState::kToSend;
     }
   }
--- a/tests/auto/consensus/simulation.cc
+++ b/tests/auto/consensus/simulation.cc
@@ -223,8 +223,8 @@
   if (!to_store || node.disk_failed || !node.durable) return;
   output.messages.clear();
   node.unsynced.push_back(std::move(output));
-  const Duration time = this->random.Between(this->options.sync_min, this->options.sync_max) +
-                        node.extra_sync_time;
+  const Duration time =
+      this->random.Between(this->options.sync_min, this->options.sync_max) + node.extra_sync_time;
   if (node.unsynced.size() == 1) {
     this->ScheduleFor(node, time, [this, &node] { this->Store(node); });
   }
--- a/tests/auto/controller/run_simulation.h
+++ b/tests/auto/controller/run_simulation.h
@@ -22,7 +22,7 @@
 
   void Propose(std::uint64_t proposer_term, const workload::Command& command,
                const LeaderContext::OnProposed& done) {
-    this->time.After(kCommitDelayMs, [this, proposer_term, command, done] {
+    this->time.After(this->commit_delay_ms, [this, proposer_term, command, done] {
       const bool applied = proposer_term == this->term;
       if (applied) {
         this->state.Apply(command);
@@ -35,6 +35,7 @@
   VirtualTime& time;
   workload::WorkloadState state;
   std::uint64_t term = 1;
+  std::int64_t commit_delay_ms = kCommitDelayMs;
   std::function<void(const workload::Command&)> on_applied;
 };
 
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -133,6 +133,45 @@
   CHECK(simulation.targets.starts == 8);
 }
 
+// Guards against a start that is sent again after its run was given up and before the log has that:
+// the target came back in between, and the task ran there and elsewhere (vp-kochi-fleet-large,
+// scale-1, seed 549645196710, on an overloaded leader whose commits took over 100 ms).
+TEST_CASE("a run that was given up isn't started when its target comes back") {
+  constexpr std::int64_t kStepMs = 50;
+  std::size_t restarted = 0;
+  // A target that is back before its lease of 3.5 s is over runs the task.
+  for (std::int64_t back_after_ms = 3'500; back_after_ms <= 7'000; back_after_ms += kStepMs) {
+    INFO("back after " << back_after_ms << " ms");
+    Simulation simulation(1, 2);
+    simulation.targets.run_ms = 3'000;
+    simulation.RunFor(1'000);
+    simulation.targets.SetIsolated("t0", true);
+    simulation.targets.SetIsolated("t1", true);
+    simulation.Submit("0000000000000001", 1);
+    simulation.RunFor(100);
+    const workload::Task* task = simulation.log.state.FindTask({"0000000000000001", 0, 0, 0});
+    REQUIRE(task != nullptr);
+    REQUIRE(task->run == 1);
+    const std::string silent = task->target.id;
+    simulation.targets.SetIsolated(silent == "t0" ? "t1" : "t0", false);
+    simulation.log.commit_delay_ms = 1'500;
+    simulation.RunFor(back_after_ms);
+    simulation.targets.SetIsolated(silent, false);
+    simulation.jobs = {"0000000000000001"};
+    simulation.RunFor(20'000);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+    const workload::TaskRef ref{"0000000000000001", 0, 0, 0};
+    const auto& targets = simulation.targets.All();
+    const bool is_restarted =
+        targets.at(silent == "t0" ? "t1" : "t0").highest_ended_run.contains(ref);
+    if (is_restarted) CHECK_FALSE(targets.at(silent).highest_ended_run.contains(ref));
+    restarted += is_restarted ? 1 : 0;
+  }
+  // Otherwise the leader has given up no run.
+  CHECK(restarted > 0);
+}
+
 // Guards against requests from a deposed leader.
 TEST_CASE("a deposed leader sends no requests") {
   Simulation simulation(1, 2);
