Log what the delays of starts, the leases and delegated calls consist of

Cause: "leader load" shows elapsed times with all waiting in "other" and a processor clock that goes on while the process waits, so it can't tell a leader without processor time from one that waits for commits, rounds or targets. Change: processor_ms is the time used, from rusage. "start delays" divides the time of a start into waiting for its commit and for its confirmation, by kind of task; "run ends" counts lapsed leases and shows the least that was left of one; "delegation load" shows how long messages between the leader and its delegates wait.

--- a/src/libs/controller/call_delegate.cc
+++ b/src/libs/controller/call_delegate.cc
@@ -52,7 +52,7 @@
   this->leader_seen_after = sent_after;
   this->leader_clock_us = batch.leader_clock_us;
   this->delegates = batch.delegates;
-  for (const DelegatedCall& call : batch.calls) this->Send(call);
+  for (const DelegatedCall& call : batch.calls) this->Send(now, call);
   for (const ReportVerdict& verdict : batch.verdicts) {
     const auto found = this->pending_reports.find(verdict.number);
     if (found == this->pending_reports.end()) continue;
@@ -71,10 +71,11 @@
   }
 }
 
-void CallDelegate::Send(const DelegatedCall& call) {
+void CallDelegate::Send(base::TimePoint now, const DelegatedCall& call) {
   const Fence fence = this->known_leader.fence;
-  const auto on_response = [this, fence, number = call.number](base::TimePoint,
-                                                               const CallResponse& response) {
+  const auto on_response = [this, fence, number = call.number, now](base::TimePoint received_at,
+                                                                    const CallResponse& response) {
+    this->call_delays.Add(received_at - now);
     this->AddResult(fence, {number, response.status, response.clock, {}});
   };
   std::visit(
--- a/src/libs/controller/call_delegate.h
+++ b/src/libs/controller/call_delegate.h
@@ -7,11 +7,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
 #include "controller/call_delegator.h"
 #include "controller/delegation_messages.h"
+#include "controller/run_statistics.h"
 #include "workload/workload_state.h"
 
 namespace mangoroad::controller {
@@ -53,6 +55,8 @@
                 std::function<void(bool accepted)> done);
   /// Sends results, and heartbeats.
   void Flush(base::TimePoint now);
+  /// Times from the arrival of a call to its result, since the last call of this.
+  [[nodiscard]] DelaySum TakeCallDelays() { return std::exchange(this->call_delays, {}); }
   /// Must be called every 50 ms.
   void Tick(base::TimePoint now, const KnownLeader& leader);
 
@@ -62,7 +66,7 @@
     base::TimePoint expires;
   };
 
-  void Send(const DelegatedCall& call);
+  void Send(base::TimePoint now, const DelegatedCall& call);
   void AddResult(Fence fence, DelegatedResult result);
   void Refuse(const CallBatch& batch, std::string_view reason);
   void SetLeader(const KnownLeader& leader);
@@ -79,6 +83,8 @@
   std::vector<DelegateAddress> delegates;
   base::TimePoint last_sent;
   std::vector<DelegatedResult> results;
+  /// Of calls other than polls, which wait at their target.
+  DelaySum call_delays;
   std::vector<TargetContact> contacts;
   std::vector<RelayedReport> reports;
   std::uint64_t last_report = 0;
--- a/src/libs/controller/delegation.cc
+++ b/src/libs/controller/delegation.cc
@@ -1,8 +1,10 @@
 #include "controller/delegation.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
+#include "controller/run_statistics.h"
 #include "log/log.h"
 #include "net/event_loop.h"
 
@@ -11,6 +13,7 @@
 
 constexpr const char* kCallsKind = "calls";
 constexpr const char* kResultsKind = "results";
+constexpr base::Duration kLoadLogInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -18,6 +21,13 @@
   struct Received {
     std::string from;
     wire::Envelope envelope;
+    base::TimePoint at;
+  };
+  /// Since the last log line.
+  struct Load {
+    std::uint64_t messages = 0;
+    std::size_t most_waiting = 0;
+    base::Duration longest_wait{};
   };
 
   net::EventLoop& loop;
@@ -28,6 +38,9 @@
   /// Messages not handled yet. They share the links with the replicated log, whose messages are
   /// urgent; these wait their turn among the other events.
   std::deque<Received> waiting;
+  Load load;
+  base::TimePoint next_load_log_at;
+  base::Duration logged_processor_time{};
   CallDelegator delegator;
   CallDelegate delegate;
   net::PostScope posts{this->loop};
@@ -52,6 +65,8 @@
     });
   }
   void Handle(const Received& received) {
+    this->load.messages += 1;
+    this->load.longest_wait = std::max(this->load.longest_wait, this->loop.Now() - received.at);
     const std::string& payload = received.envelope.payload;
     const bool is_calls = received.envelope.kind == kCallsKind;
     const auto calls = is_calls ? DecodeCallBatch(payload) : std::nullopt;
@@ -66,6 +81,26 @@
           {{"from", received.from}, {"kind", received.envelope.kind}, {"bytes", payload.size()}});
     }
   }
+  /// Logs how long messages between the leader and its delegates waited for this process, and how
+  /// long the calls that it carried took.
+  void LogLoad(base::TimePoint now) {
+    if (now < this->next_load_log_at) return;
+    this->next_load_log_at = now + kLoadLogInterval;
+    const Load sums = std::exchange(this->load, {});
+    const DelaySum calls = this->delegate.TakeCallDelays();
+    const base::Duration processor_time = this->loop.ProcessorTime();
+    const base::Duration used =
+        processor_time - std::exchange(this->logged_processor_time, processor_time);
+    if (sums.messages == 0) return;
+    log::Info(log::Category::kPlacement, "delegation load",
+              {{"processor_ms", base::ToMilliseconds(used)},
+               {"messages", sums.messages},
+               {"most_waiting", sums.most_waiting},
+               {"longest_wait_ms", base::ToMilliseconds(sums.longest_wait)},
+               {"carried_calls", calls.count},
+               {"mean_call_ms", base::ToMilliseconds(calls.Mean())},
+               {"max_call_ms", base::ToMilliseconds(calls.max)}});
+  }
   bool SendCalls(const std::string& to, const CallBatch& batch) override {
     return this->send(to, {kCallsKind, EncodeCallBatch(batch)});
   }
@@ -98,7 +133,8 @@
 
 bool Delegation::OnEnvelope(const std::string& from, wire::Envelope envelope) {
   if (envelope.kind != kCallsKind && envelope.kind != kResultsKind) return false;
-  this->d->waiting.push_back({from, std::move(envelope)});
+  this->d->waiting.push_back({from, std::move(envelope), this->d->loop.Now()});
+  this->d->load.most_waiting = std::max(this->d->load.most_waiting, this->d->waiting.size());
   this->d->PostHandling();
   return true;
 }
@@ -107,6 +143,7 @@
   const base::TimePoint now = this->d->loop.Now();
   this->d->delegate.Tick(now, this->d->find_leader());
   this->d->delegator.Tick(now);
+  this->d->LogLoad(now);
 }
 
 }  // namespace mangoroad::controller
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -19,13 +19,6 @@
 using workload::TaskPhase;
 using workload::TaskRef;
 
-namespace {
-
-/// Minimum time between two log lines about waiting tasks.
-constexpr base::Duration kBacklogLogInterval = std::chrono::seconds(1);
-
-}  // namespace
-
 RunManager::RunManager(const workload::WorkloadState& workload_state, TargetCalls& target_calls,
                        LeaderContext& leader_context, RunManagerSettings leader_settings)
     : state(workload_state),
@@ -40,6 +33,7 @@
   this->leading = true;
   this->fence = new_fence;
   this->targets.Reset(now);
+  this->statistics.Reset();
   for (const auto& [id, record] : this->state.Targets()) {
     TargetView& view = this->targets.FindOrCreate(record.incarnation);
     view.last_contact = now;
@@ -213,6 +207,9 @@
       run.start_request = StartRequestState::kConfirmed;
       run.confirmed_at = now;
       run.progressed_at = now;
+      if (const workload::StepSpec* spec = this->state.SpecOf(task)) {
+        this->statistics.OnStartConfirmed(now, run.committed_at, KindOf(*spec));
+      }
       break;
     case CallStatus::kNoCapacity:
     case CallStatus::kUnhealthy:
@@ -316,22 +313,6 @@
   return due;
 }
 
-void RunManager::LogBacklog(base::TimePoint now) {
-  if (now < this->next_backlog_log_at || this->state.Ready().empty()) return;
-  this->next_backlog_log_at = now + kBacklogLogInterval;
-  const dispatch::Backlog backlog = this->planner.MeasureBacklog();
-  log::Info(log::Category::kJobs, "work waits",
-            {{"short_tasks", backlog.short_tasks},
-             {"filling_tasks", backlog.best_effort_tasks},
-             {"lasting_tasks", backlog.long_running_tasks},
-             {"largest_short_cpu", backlog.largest_short_cpu},
-             {"largest_lasting_cpu", backlog.largest_long_running_cpu},
-             {"usable_targets", backlog.usable_targets},
-             {"kept_targets", backlog.reserved_targets},
-             {"free_cpu", backlog.free_cpu},
-             {"largest_free_cpu", backlog.largest_free_cpu}});
-}
-
 void RunManager::ProposeChanges(base::TimePoint now) {
   if (this->proposal_in_flight) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPlan);
@@ -372,6 +353,7 @@
 void RunManager::Tick(base::TimePoint now) {
   if (!this->leading) return;
   this->CheckLeases(now);
+  this->statistics.LogIfDue(now, this->state.Ready());
   this->MigrateRuns(now);
   this->plan_due = true;
   this->ProposeChanges(now);
@@ -383,6 +365,9 @@
   this->plan_due = true;
   if (const auto* cancel = std::get_if<workload::Cancel>(&command)) this->StopRunsOf(cancel->id);
   const auto* changes = std::get_if<workload::RunChanges>(&command);
+  if (const auto* submit = std::get_if<workload::Submit>(&command)) {
+    this->NoteReadySteps(now, submit->id, 0);
+  }
   if (changes == nullptr) {
     this->context.RequestAdvance();
     return;
@@ -390,6 +375,7 @@
   for (const End& end : changes->ends) {
     this->concluded.erase({end.task, end.run});
     this->orphans.erase({end.task, end.run});
+    this->statistics.OnRunEnded(end.how);
     TargetView* view = this->targets.Find(end.target.id);
     log::Info(log::Category::kJobs, "run ended",
               {{"task", workload::ToText(end.task)},
@@ -404,6 +390,7 @@
     const auto run = view->runs.find(end.task);
     if (run != view->runs.end() && run->second.run == end.run) view->runs.erase(run);
   }
+  this->NoteStarts(now, *changes);
   for (const workload::Start& start : changes->starts) {
     const Task* task = this->state.FindTask(start.task);
     if (task == nullptr || task->phase != TaskPhase::kRunning || task->run != start.run) continue;
@@ -412,6 +399,7 @@
     RunView run;
     run.run = start.run;
     run.requested_at = now;
+    run.committed_at = now;
     view.runs[start.task] = run;
     view.has_pending_requests = true;
     this->MarkChanged(start.target.id);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "controller/run_statistics.h"
 #include "controller/target_calls.h"
 #include "dispatch/migration.h"
 #include "dispatch/planner.h"
@@ -174,6 +175,9 @@
   std::vector<workload::DueOccurrence> DueOccurrences(std::int64_t time_of_day_ms) const;
   void ProposeChanges(base::TimePoint now);
   void LogBacklog(base::TimePoint now);
+  /// Notes the steps of an occurrence whose tasks may start.
+  void NoteReadySteps(base::TimePoint now, const workload::JobId& job, std::uint32_t occurrence);
+  void NoteStarts(base::TimePoint now, const workload::RunChanges& changes);
 
   const workload::WorkloadState& state;
   TargetCalls& calls;
@@ -202,6 +206,7 @@
   /// another plan would find the same.
   bool plan_due = true;
   std::uint64_t target_checks = 0;
+  RunStatistics statistics;
   base::TimePoint next_migration_at;
   base::TimePoint next_backlog_log_at;
 };
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -1,5 +1,6 @@
 // Polls of targets: leases, lists of running and ended runs.
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "controller/run_manager.h"
@@ -55,7 +56,11 @@
   request.fence = this->fence;
   request.acknowledged = record.acknowledged;
   // The lease of a silent target isn't extended, or it would never expire.
+  const std::optional<base::Duration> lease_left = view.lease.Left(now);
   if (view.unanswered_requests == 0) request.deadline = view.lease.Grant(now);
+  if (request.deadline && lease_left && !view.runs.empty()) {
+    this->statistics.OnLeaseRenewed(*lease_left);
+  }
   if (view.is_fenced && !view.runs.empty()) {
     request.wait = view.is_near_slo ? this->settings.slo_poll_wait : this->settings.poll_wait;
   }
--- a/src/libs/dispatch/lease_clock.cc
+++ b/src/libs/dispatch/lease_clock.cc
@@ -36,6 +36,12 @@
   return this->granted_deadline > 0 ? std::optional(this->granted_deadline) : std::nullopt;
 }
 
+std::optional<base::Duration> LeaseClock::Left(base::TimePoint now) const {
+  if (!this->clock || this->granted_deadline == 0) return std::nullopt;
+  return std::chrono::milliseconds(this->granted_deadline - *this->clock) -
+         (now - this->clock_received);
+}
+
 base::TimePoint LeaseClock::SafeExpiry() const {
   if (!this->clock) return this->inherited_expiry;
   const std::chrono::milliseconds left(
--- a/src/libs/dispatch/lease_clock.h
+++ b/src/libs/dispatch/lease_clock.h
@@ -36,6 +36,9 @@
   std::optional<TargetMilliseconds> Grant(base::TimePoint now);
   /// The latest granted deadline, for a request that mustn't extend it; nothing if there is none.
   [[nodiscard]] std::optional<TargetMilliseconds> GrantedDeadline() const;
+  /// Time until the latest granted deadline by the latest known clock of the target; negative when
+  /// it has passed, nothing before a deadline was granted.
+  [[nodiscard]] std::optional<base::Duration> Left(base::TimePoint now) const;
   /// After this time all runs of this incarnation have certainly ended, unless a later request
   /// extends the lease.
   [[nodiscard]] base::TimePoint SafeExpiry() const;
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -65,6 +65,7 @@
   /// A request got no response and may still take effect.
   bool is_in_doubt = false;
   base::TimePoint requested_at;
+  base::TimePoint committed_at;  ///< of the start, in this term
   base::TimePoint confirmed_at;
   std::int32_t percent = 0;
   /// When `percent` last rose.
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <event2/util.h>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <ctime>
@@ -112,7 +113,16 @@
   return base::ToMilliseconds(ReadClock(CLOCK_REALTIME));
 }
 
-base::Duration EventLoop::ProcessorTime() const { return ReadClock(CLOCK_PROCESS_CPUTIME_ID); }
+base::Duration EventLoop::ProcessorTime() const {
+  // The processor clocks of the users' bench go on while a process waits; its rusage doesn't.
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto of = [](const timeval& time) {
+    return base::Duration(std::chrono::seconds(time.tv_sec) +
+                          std::chrono::microseconds(time.tv_usec));
+  };
+  return of(usage.ru_utime) + of(usage.ru_stime);
+}
 
 std::uint64_t EventLoop::RandomBits() const {
   std::uint64_t bits = 0;
