Plan a backlog by what has changed, and bound best-effort starts on their way

Cause: each round compared each waiting step with all 1,100 targets again and looked every target up in three maps, so a longer queue made each round dearer (up to 2.2 million scored targets a second, 9 rounds in place of 35) and the queue longer. Best-effort starts were committed as fast as there was capacity; urgent starts and the ends of all runs queued behind them. Change: a step that found no target is compared with the targets that have changed since; upper bounds in a small array rule most targets out; of the others the emptiest are scored first; records, views and capacities are read side by side. Conclusion: class of the fault: work per event that grows with the fleet and with the backlog, which makes overload last.

--- a/src/libs/dispatch/planner.cc
+++ b/src/libs/dispatch/planner.cc
@@ -1,6 +1,7 @@
 #include "dispatch/planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <iterator>
 #include <ranges>
@@ -61,6 +62,9 @@
 constexpr double kNegligibleInterference = 0.06;
 /// Fraction of their processors that latency-critical tasks leave unused on average.
 constexpr double kUnusedFraction = 0.5;
+/// Targets that are scored for a step at first, beside those for each of its tasks.
+constexpr std::size_t kMinCandidates = 64;
+constexpr std::size_t kCandidatesPerTask = 2;
 /// A capacity is measured anew after this time at the latest, since the interference model changes
 /// with the measurements of other targets, too.
 constexpr base::Duration kMaxCapacityAge = std::chrono::milliseconds(500);
@@ -70,6 +74,12 @@
   return spec.long_running ? task.failures > 0 : task.run > 0;
 }
 
+/// Thousandths of a core that are expected to be left to best-effort tasks.
+double UnusedCpu(const Planner::TargetCapacity& capacity) {
+  return static_cast<double>(capacity.free.cpu) +
+         kUnusedFraction * static_cast<double>(capacity.latency_critical_cpu);
+}
+
 double ShareOf(const TargetRecord& target, const StepSpec& spec) {
   return target.capacity.cpu <= 0
              ? 0.0
@@ -88,13 +98,19 @@
   return request;
 }
 
+Planner::UpperBounds Planner::UpperBoundsOf(const TargetCapacity& capacity) const {
+  const double best_effort_cpu = UnusedCpu(capacity) / this->limits.min_rate;
+  return {capacity.free.cpu,
+          static_cast<std::int64_t>(std::ceil(best_effort_cpu)) - capacity.best_effort_cpu,
+          capacity.free.cpu - capacity.best_effort_cpu, capacity.changed_round};
+}
+
 double Planner::ExpectedRate(const TargetCapacity& capacity, const Request& request) const {
   const StepSpec& spec = request.spec;
   const InterferenceModel& model = this->tracker.Interference();
   const double share = ShareOf(*capacity.target, spec);
   const double wanted = static_cast<double>(capacity.best_effort_cpu + spec.resources.cpu);
-  const double unused = static_cast<double>(capacity.free.cpu) +
-                        kUnusedFraction * static_cast<double>(capacity.latency_critical_cpu);
+  const double unused = UnusedCpu(capacity);
   double rate = wanted <= 0 ? 1.0 : std::min(1.0, std::max(0.0, unused) / wanted);
   for (const LatencyCriticalLoad& load : capacity.latency_critical) {
     const double interference = model.InterferenceAt(load.regression, request.image_index) * share;
@@ -130,7 +146,7 @@
 bool Planner::IsUpToDate(base::TimePoint now, const TargetRecord& target, const TargetView& view,
                          const TargetCapacity& capacity) const {
   return capacity.target == &target && !capacity.has_planned_tasks &&
-         capacity.state_change == this->state.LastChangeOf(target.incarnation.id) &&
+         capacity.state_change == target.last_change &&
          capacity.baseline_changes == view.baseline_changes &&
          now - capacity.measured_at < kMaxCapacityAge;
 }
@@ -141,53 +157,71 @@
   capacity = {};
   capacity.target = &target;
   capacity.free = target.capacity;
-  capacity.state_change = this->state.LastChangeOf(target.incarnation.id);
+  capacity.state_change = target.last_change;
+  capacity.changed_round = this->round;
   capacity.baseline_changes = view.baseline_changes;
   capacity.measured_at = now;
   const auto running = this->state.RunningOn().find(target.incarnation);
   if (running == this->state.RunningOn().end()) return;
   // Latency-critical tasks first, so that the interference of each neighbour is added to them.
   std::vector<const StepSpec*> others;
+  // Both are in the order of tasks.
+  auto run = view.runs.begin();
   for (const TaskRef& task : running->second) {
-    const StepSpec* spec = this->state.SpecOf(task);
+    while (run != view.runs.end() && run->first < task) ++run;
+    const bool has_view = run != view.runs.end() && run->first == task;
+    const StepSpec* spec = has_view ? run->second.spec : nullptr;
+    if (spec == nullptr) spec = this->state.SpecOf(task);
     if (spec == nullptr) continue;
     if (!spec->long_running && !spec->best_effort) capacity.short_cpu += spec->resources.cpu;
     if (spec->latency_slo_ms <= 0) {
       others.push_back(spec);
       continue;
     }
-    const auto run = view.runs.find(task);
     this->AllocateLatencyCritical(capacity, *spec,
-                                  run == view.runs.end() ? kBaselinePrior : run->second.baseline);
+                                  has_view ? run->second.baseline : kBaselinePrior);
   }
-  for (const StepSpec* spec : others) this->Allocate(capacity, *spec);
-  capacity.has_planned_tasks = false;
+  for (const StepSpec* spec : others) this->AddTask(capacity, *spec);
+}
+
+void Planner::AddUsable(TargetCapacity& capacity) {
+  // What was reserved or unusable in the last round has become available.
+  if (capacity.is_reserved || !capacity.is_usable) capacity.changed_round = this->round;
+  capacity.is_reserved = false;
+  capacity.is_usable = true;
+  capacity.position = this->capacities.size();
+  this->capacities.push_back(&capacity);
+  this->upper_bounds.push_back(this->UpperBoundsOf(capacity));
 }
 
 void Planner::MeasureCapacities(base::TimePoint now) {
+  this->round += 1;
   this->capacities.clear();
-  std::size_t known = 0;
+  this->upper_bounds.clear();
+  auto& views = this->tracker.All();
+  auto view = views.begin();
+  auto kept = this->measured.begin();
   for (const auto& [id, target] : this->state.Targets()) {
-    const TargetView* view = this->tracker.Find(id);
-    if (view == nullptr || view->incarnation != target.incarnation) continue;
-    known += 1;
-    TargetCapacity& capacity = this->measured[id];
-    if (!this->IsUpToDate(now, target, *view, capacity)) {
-      this->MeasureCapacity(now, target, *view, capacity);
+    while (view != views.end() && view->first < id) ++view;
+    while (kept != this->measured.end() && kept->first < id) kept = this->measured.erase(kept);
+    if (view == views.end()) break;
+    if (view->first != id || view->second.incarnation != target.incarnation) continue;
+    if (kept == this->measured.end() || kept->first != id) {
+      kept = this->measured.emplace_hint(kept, id, TargetCapacity());
+    }
+    TargetCapacity& capacity = kept->second;
+    ++kept;
+    if (!this->IsUpToDate(now, target, view->second, capacity)) {
+      this->MeasureCapacity(now, target, view->second, capacity);
     }
-    capacity.is_reserved = false;
-    if (!target.draining && this->tracker.IsUsable(*view, now)) {
-      this->capacities.push_back(&capacity);
+    if (!target.draining && this->tracker.IsUsable(view->second, now)) {
+      this->AddUsable(capacity);
+    } else {
+      capacity.is_usable = false;
     }
   }
-  if (this->measured.size() == known) return;
   // The records of targets that have left no longer exist.
-  std::erase_if(this->measured, [this](const auto& entry) {
-    const auto target = this->state.Targets().find(entry.first);
-    const TargetView* view = this->tracker.Find(entry.first);
-    return target == this->state.Targets().end() || view == nullptr ||
-           view->incarnation != target->second.incarnation;
-  });
+  this->measured.erase(kept, this->measured.end());
 }
 
 void Planner::AllocateLatencyCritical(TargetCapacity& capacity, const StepSpec& spec,
@@ -208,8 +242,13 @@
   capacity.free -= spec.resources;
 }
 
-void Planner::Allocate(TargetCapacity& capacity, const StepSpec& spec) const {
+void Planner::Allocate(TargetCapacity& capacity, const StepSpec& spec) {
   capacity.has_planned_tasks = true;
+  this->AddTask(capacity, spec);
+  this->upper_bounds[capacity.position] = this->UpperBoundsOf(capacity);
+}
+
+void Planner::AddTask(TargetCapacity& capacity, const StepSpec& spec) const {
   if (spec.latency_slo_ms > 0) return this->AllocateLatencyCritical(capacity, spec, kBaselinePrior);
   workload::Resources used = spec.resources;
   if (spec.best_effort) {
@@ -236,17 +275,24 @@
 
 }  // namespace
 
-bool Planner::IsKnownNotToFit(const Job& job, const StepSpec& spec) const {
-  const auto entry = this->failed_placements.find(PlacementKey(job, spec));
-  return entry != this->failed_placements.end() && spec.resources.Covers(entry->second);
+std::uint64_t Planner::FailedRoundOf(const Job& job, const StepSpec& spec) const {
+  const std::string key = PlacementKey(job, spec);
+  for (const FailedPlacements* failed :
+       {&this->failed_placements, &this->earlier_failed_placements}) {
+    const auto entry = failed->find(key);
+    if (entry != failed->end() && spec.resources.Covers(entry->second.smallest)) {
+      return entry->second.round;
+    }
+  }
+  return 0;
 }
 
 void Planner::RecordFailedPlacement(const Job& job, const StepSpec& spec) {
   // With a limit per target, a failed placement says nothing about other tasks.
   if (spec.max_per_target > 0) return;
-  const auto [entry, is_new] =
-      this->failed_placements.emplace(PlacementKey(job, spec), spec.resources);
-  if (!is_new && entry->second.Covers(spec.resources)) entry->second = spec.resources;
+  const FailedPlacement failed{spec.resources, this->round};
+  const auto [entry, is_new] = this->failed_placements.emplace(PlacementKey(job, spec), failed);
+  if (!is_new && entry->second.smallest.Covers(spec.resources)) entry->second = failed;
 }
 
 void Planner::MeasureShortTaskDemand(base::TimePoint now) {
@@ -256,7 +302,7 @@
     this->free_cpu[capacity->target->service] += std::max<std::int64_t>(0, capacity->free.cpu);
   }
   for (const auto& [id, capacity] : this->measured) {
-    this->short_cpu[capacity.target->service] += capacity.short_cpu;
+    if (capacity.short_cpu > 0) this->short_cpu[capacity.target->service] += capacity.short_cpu;
   }
   std::erase_if(this->long_running_waiting_since,
                 [&](const auto& entry) { return !this->state.Ready().contains(entry.first); });
@@ -361,11 +407,22 @@
   return Score{ran_here, far, interference, colocation, -unused};
 }
 
+bool Planner::MayFit(std::size_t position, const Request& request,
+                     std::uint64_t since_round) const {
+  const UpperBounds& bounds = this->upper_bounds[position];
+  const StepSpec& spec = request.spec;
+  return bounds.changed_round > since_round &&
+         spec.resources.cpu <= (spec.best_effort ? bounds.best_effort_cpu : bounds.free_cpu);
+}
+
 Planner::TargetCapacity* Planner::ChooseTarget(const Request& request, const Task& task,
-                                               const std::string& rack, const TaskCounts& used) {
+                                               const std::string& rack, const TaskCounts& used,
+                                               std::uint64_t since_round) {
   TargetCapacity* best = nullptr;
   Score best_score;
-  for (TargetCapacity* capacity : this->capacities) {
+  for (std::size_t i = 0; i < this->capacities.size(); ++i) {
+    if (!this->MayFit(i, request, since_round)) continue;
+    TargetCapacity* capacity = this->capacities[i];
     const auto score = this->ScoreOf(*capacity, request, task, rack, used);
     if (!score || (best != nullptr && *score >= best_score)) continue;
     best = capacity;
@@ -378,14 +435,30 @@
 /// Such tasks have the same score on a target, and a start changes only that of its own target.
 class Planner::CandidateQueue {
  public:
-  CandidateQueue(Planner& owner, const Request& step_request, const TaskCounts& task_counts)
+  /// `tasks`: how many of the step wait.
+  CandidateQueue(Planner& owner, const Request& step_request, const TaskCounts& task_counts,
+                 std::uint64_t since_round, std::size_t tasks)
       : planner(owner), request(step_request), used(task_counts) {
-    for (std::size_t i = 0; i < this->planner.capacities.size(); ++i) this->Add(i);
-    std::ranges::make_heap(this->heap, std::greater());
+    for (std::size_t i = 0; i < this->planner.capacities.size(); ++i) {
+      if (this->planner.MayFit(i, this->request, since_round)) this->unscored.push_back(i);
+    }
+    // Except for latency-critical tasks, the targets with the most unused processors are the best
+    // or nearly so; the others are scored when these don't suffice.
+    const std::size_t scored = kMinCandidates + kCandidatesPerTask * tasks;
+    if (this->request.spec.latency_slo_ms > 0 || this->unscored.size() <= scored) {
+      this->AddUnscored(this->unscored.begin());
+      return;
+    }
+    const auto first_scored = this->unscored.end() - static_cast<std::ptrdiff_t>(scored);
+    std::ranges::nth_element(this->unscored, first_scored, {}, [this](std::size_t position) {
+      return std::pair(this->planner.upper_bounds[position].unused_cpu, position);
+    });
+    this->AddUnscored(first_scored);
   }
 
   /// The best target, or null. Its score is due for Update after a start there.
-  [[nodiscard]] TargetCapacity* Best() const {
+  [[nodiscard]] TargetCapacity* Best() {
+    if (this->heap.empty()) this->AddUnscored(this->unscored.begin());
     return this->heap.empty() ? nullptr : this->planner.capacities[this->heap.front().second];
   }
   /// Must be called after a start on the best target.
@@ -404,9 +477,18 @@
     return score.has_value();
   }
 
+  void AddUnscored(std::vector<std::size_t>::iterator first) {
+    std::for_each(first, this->unscored.end(),
+                  [this](std::size_t position) { this->Add(position); });
+    this->unscored.erase(first, this->unscored.end());
+    std::ranges::make_heap(this->heap, std::greater());
+  }
+
   Planner& planner;
   const Request& request;
   const TaskCounts& used;
+  /// Targets that may be candidates and haven't been scored.
+  std::vector<std::size_t> unscored;
   /// With the index of the target, which decides between equal scores.
   std::vector<std::pair<Score, std::size_t>> heap;
 };
@@ -445,7 +527,10 @@
       return;
     }
     // In reverse, so that the first copy of each target is the last one written.
-    for (auto& [capacity, before] : std::views::reverse(saved)) *capacity = std::move(before);
+    for (auto& [capacity, before] : std::views::reverse(saved)) {
+      *capacity = std::move(before);
+      this->upper_bounds[capacity->position] = this->UpperBoundsOf(*capacity);
+    }
   }
 }
 
@@ -473,13 +558,15 @@
 
 void Planner::PlanStep(base::TimePoint now, const StepRef& ref, std::vector<Start>& starts) {
   const StepSpec& spec = *this->state.SpecOf(ref);
+  if (spec.best_effort && this->best_effort_budget == 0) return;
   const Step& step = *this->state.FindStep(ref);
   if (spec.gang) {
     this->PlanGang(ref, spec, step, starts);
     return;
   }
   const Job& job = *this->state.FindJob(ref.job);
-  if (this->IsKnownNotToFit(job, spec)) return;
+  const std::uint64_t failed_round = this->FailedRoundOf(job, spec);
+  if (failed_round == this->round) return;
   const Request request = this->RequestOf(job, spec);
   TaskCounts used = RunningByTarget(spec, step);
   std::optional<CandidateQueue> candidates;
@@ -487,9 +574,12 @@
     const Task& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting) continue;
     const bool is_first_try = !HasRunBadly(spec, task);
-    if (is_first_try && !candidates) candidates.emplace(*this, request, used);
-    TargetCapacity* capacity =
-        is_first_try ? candidates->Best() : this->ChooseTarget(request, task, "", used);
+    if (is_first_try && !candidates) {
+      candidates.emplace(*this, request, used, failed_round, step.waiting);
+    }
+    TargetCapacity* capacity = is_first_try
+                                   ? candidates->Best()
+                                   : this->ChooseTarget(request, task, "", used, failed_round);
     if (capacity == nullptr) this->RecordFailedPlacement(job, spec);
     if (capacity == nullptr && spec.long_running && this->HasExceededDelay(now, ref)) {
       this->ReserveTargetFor(job, spec);
@@ -497,6 +587,8 @@
     // All tasks of a step ask for the same resources, so the rest doesn't fit either.
     if (capacity == nullptr || starts.size() >= this->limits.max_starts) return;
     if (spec.long_running && !this->MayStartLongRunning(now, ref, job, spec)) return;
+    if (spec.best_effort && this->best_effort_budget == 0) return;
+    if (spec.best_effort) this->best_effort_budget -= 1;
     Allocate(*capacity, spec);
     if (!spec.best_effort) this->free_cpu[job.service] -= spec.resources.cpu;
     if (!spec.best_effort && !spec.long_running) this->short_cpu[job.service] += spec.resources.cpu;
@@ -536,14 +628,18 @@
   return backlog;
 }
 
-std::vector<Start> Planner::Plan(base::TimePoint now, std::int64_t time_of_day_ms) {
+std::vector<Start> Planner::Plan(base::TimePoint now, std::int64_t time_of_day_ms,
+                                 std::size_t unconfirmed_best_effort) {
   std::vector<Start> starts;
   if (this->state.Ready().empty()) return starts;
   this->effort.rounds += 1;
   this->MeasureCapacities(now);
   this->MeasureShortTaskDemand(now);
   this->reserved_targets = 0;
-  this->failed_placements.clear();
+  this->best_effort_budget =
+      this->limits.max_unconfirmed_best_effort -
+      std::min(this->limits.max_unconfirmed_best_effort, unconfirmed_best_effort);
+  this->earlier_failed_placements = std::exchange(this->failed_placements, {});
   for (const StepRef& ref : this->OrderSteps(now, time_of_day_ms)) {
     if (starts.size() >= this->limits.max_starts) break;
     this->PlanStep(now, ref, starts);
--- a/src/libs/dispatch/planner.h
+++ b/src/libs/dispatch/planner.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <string>
 #include <tuple>
-#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -40,6 +39,11 @@
 struct PlanLimits {
   /// Starts planned in one round; more wait for the next one, so that a round stays short.
   std::size_t max_starts = 400;
+  /// Best-effort starts that may be on their way to targets at once; more aren't planned. A leader
+  /// that is behind would otherwise put urgent starts, and the ends of all runs, behind thousands
+  /// of them, and hold capacity for starts that come too late. At 100 ms from the plan to the
+  /// confirmation this is 4,000 starts a second.
+  std::size_t max_unconfirmed_best_effort = 400;
   /// Targets that are reserved at once while long-running tasks find no capacity.
   std::size_t max_reserved_targets = 1;
   /// A best-effort task isn't started where its expected rate is below this (1: full rate): on
@@ -73,7 +77,9 @@
 };
 
 /// Plans in rounds, each over a fixed state. The capacity of a target is kept between rounds until
-/// its tasks change, so that a round costs as much as the changes since the last one.
+/// its tasks change, and a step that found no target is only compared with the targets that have
+/// changed since, so that a round costs as much as the changes since the last one: neither the size
+/// of the fleet nor the length of the backlog multiplies it.
 class Planner {
  public:
   Planner(const workload::WorkloadState& workload_state, TargetTracker& target_tracker,
@@ -82,7 +88,9 @@
 
   /// The starts to log and then to send. `time_of_day_ms` only serves to order the jobs by their
   /// times.
-  std::vector<workload::Start> Plan(base::TimePoint now, std::int64_t time_of_day_ms);
+  /// `unconfirmed_best_effort`: starts of best-effort tasks that are on their way.
+  std::vector<workload::Start> Plan(base::TimePoint now, std::int64_t time_of_day_ms,
+                                    std::size_t unconfirmed_best_effort = 0);
 
   [[nodiscard]] const PlanningEffort& Effort() const { return this->effort; }
   /// As of the last plan; the tasks that it starts don't wait.
@@ -125,6 +133,11 @@
     base::TimePoint measured_at;
     /// This round has allocated resources here, which the state doesn't contain yet.
     bool has_planned_tasks = false;
+    bool is_usable = false;
+    /// The last round before which more may have become available here.
+    std::uint64_t changed_round = 0;
+    /// Position in `capacities` and `upper_bounds`, where usable.
+    std::size_t position = 0;
   };
 
  private:
@@ -142,8 +155,24 @@
   /// Tasks of a step by the target they run on.
   using TaskCounts = std::map<std::string, std::uint32_t>;
   class CandidateQueue;
+  /// Upper bounds of what can start on a usable target. Kept apart from TargetCapacity, so that
+  /// most targets are ruled out by a scan of a small array.
+  struct UpperBounds {
+    std::int64_t free_cpu = 0;         ///< thousandths of a core
+    std::int64_t best_effort_cpu = 0;  ///< the same for a best-effort task
+    std::int64_t unused_cpu = 0;       ///< see ScoreOf
+    std::uint64_t changed_round = 0;   ///< see TargetCapacity
+  };
+  /// The smallest request of its kind that found no target in `round`.
+  struct FailedPlacement {
+    workload::Resources smallest;
+    std::uint64_t round = 0;
+  };
+  using FailedPlacements = std::map<std::string, FailedPlacement>;
 
   void MeasureCapacities(base::TimePoint now);
+  void AddUsable(TargetCapacity& capacity);
+  [[nodiscard]] UpperBounds UpperBoundsOf(const TargetCapacity& capacity) const;
   bool IsUpToDate(base::TimePoint now, const workload::TargetRecord& target, const TargetView& view,
                   const TargetCapacity& capacity) const;
   void MeasureCapacity(base::TimePoint now, const workload::TargetRecord& target,
@@ -158,16 +187,23 @@
   std::optional<Score> ScoreOf(const TargetCapacity& capacity, const Request& request,
                                const workload::Task& task, const std::string& rack,
                                const TaskCounts& used);
+  /// False when the target can't be a candidate, or hasn't changed after `since_round`.
+  [[nodiscard]] bool MayFit(std::size_t position, const Request& request,
+                            std::uint64_t since_round) const;
+  /// The best of the targets that have changed after `since_round`; 0: of all.
   TargetCapacity* ChooseTarget(const Request& request, const workload::Task& task,
-                               const std::string& rack, const TaskCounts& used);
+                               const std::string& rack, const TaskCounts& used,
+                               std::uint64_t since_round = 0);
   /// Tasks of the step that run now; only counted where the step limits them.
   static TaskCounts RunningByTarget(const workload::StepSpec& spec, const workload::Step& step);
-  void Allocate(TargetCapacity& capacity, const workload::StepSpec& spec) const;
+  void Allocate(TargetCapacity& capacity, const workload::StepSpec& spec);
+  void AddTask(TargetCapacity& capacity, const workload::StepSpec& spec) const;
   void AllocateLatencyCritical(TargetCapacity& capacity, const workload::StepSpec& spec,
                                double baseline) const;
-  /// True when a request that isn't larger found no target earlier in this round, in which free
-  /// capacity only shrinks.
-  bool IsKnownNotToFit(const workload::Job& job, const workload::StepSpec& spec) const;
+  /// The last plan's round in which a request that isn't larger found no target, 0 if none did.
+  /// Within a round, free capacity only shrinks.
+  [[nodiscard]] std::uint64_t FailedRoundOf(const workload::Job& job,
+                                            const workload::StepSpec& spec) const;
   void RecordFailedPlacement(const workload::Job& job, const workload::StepSpec& spec);
   /// Rate that a best-effort task would get on the target, 0 to 1.
   double ExpectedRate(const TargetCapacity& capacity, const Request& request) const;
@@ -188,15 +224,23 @@
   const workload::WorkloadState& state;
   TargetTracker& tracker;
   PlanLimits limits;
-  /// By target, of all registered targets that the tracker knows.
-  std::unordered_map<std::string, TargetCapacity> measured;
-  /// The usable ones of this round, by name.
+  /// Number of the current round; also counts rounds of migrations.
+  std::uint64_t round = 0;
+  /// By target, of all registered targets that the tracker knows. In the order of the state's
+  /// targets and the tracker's views, so that all three are read side by side without look-ups.
+  std::map<std::string, TargetCapacity> measured;
+  /// The usable ones of this round, by name, and what can start there.
   std::vector<TargetCapacity*> capacities;
+  std::vector<UpperBounds> upper_bounds;
   PlanningEffort effort;
   ShortTaskDemand short_task_demand;
   std::size_t reserved_targets = 0;
-  /// Smallest requests that found no target in this round, by their other requirements.
-  std::map<std::string, workload::Resources> failed_placements;
+  /// Best-effort starts that this plan may still contain.
+  std::size_t best_effort_budget = 0;
+  /// Requests that found no target in this plan and in the one before, by their other
+  /// requirements.
+  FailedPlacements failed_placements;
+  FailedPlacements earlier_failed_placements;
   /// Since when long-running steps have had waiting tasks.
   std::map<workload::StepRef, base::TimePoint> long_running_waiting_since;
   /// Free processors of each service, and those in use by short tasks; thousandths of a core.
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -61,6 +61,10 @@
 /// A run that the workload state has assigned to a target.
 struct RunView {
   std::uint32_t run = 0;
+  /// The job and the step, so that they needn't be looked up for each run on each response. The
+  /// state keeps a job for minutes after its last run has ended; a view ends with its run.
+  const workload::Job* job = nullptr;
+  const workload::StepSpec* spec = nullptr;
   StartRequestState start_request = StartRequestState::kToSend;
   /// A request got no response and may still take effect.
   bool is_in_doubt = false;
@@ -117,7 +121,9 @@
   bool has_pending_requests = true;
   /// Best-effort tasks run beside latency-critical ones near their SLO, or are throttled for them.
   bool is_near_slo = false;
-  /// Incremented after each change of a run's baseline.
+  /// When the interference model last took the response times here into account.
+  base::TimePoint observed_at;
+  /// Incremented when a run's baseline has moved so far that it matters for placement.
   std::uint64_t baseline_changes = 0;
   std::map<TaskRef, RunView> runs;
 };
--- a/src/libs/workload/commands.h
+++ b/src/libs/workload/commands.h
@@ -26,6 +26,10 @@
   bool draining = false;
   /// Run ends up to this number in the target's list have been applied to the workload state.
   std::uint64_t acknowledged = 0;
+  /// Number of the last change of this record or of the tasks that run on the target, so that
+  /// results derived from them can be kept. Set by WorkloadState; differs between replicas and is
+  /// neither encoded nor compared.
+  std::uint64_t last_change = 0;
 };
 
 struct Declare {
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -101,10 +101,7 @@
     }
   }
   std::erase_if(this->targets, [&](const auto& entry) {
-    const bool is_replaced =
-        entry.second.address == added.address && entry.first != added.incarnation.id;
-    if (is_replaced) this->target_changes.erase(entry.first);
-    return is_replaced;
+    return entry.second.address == added.address && entry.first != added.incarnation.id;
   });
   TargetRecord& record = this->targets[added.incarnation.id];
   const bool is_same = record.incarnation == added.incarnation;
@@ -123,7 +120,6 @@
     return Outcome::kNotFound;
   }
   this->targets.erase(found);
-  this->target_changes.erase(command.incarnation.id);
   return Outcome::kApplied;
 }
 
@@ -368,14 +364,9 @@
   return ref.index >= step.tasks.size() ? nullptr : &step.tasks[ref.index];
 }
 
-std::uint64_t WorkloadState::LastChangeOf(const std::string& target_id) const {
-  const auto found = this->target_changes.find(target_id);
-  return found == this->target_changes.end() ? 0 : found->second;
-}
-
 void WorkloadState::NoteChangeOf(const std::string& target_id) {
-  if (!this->targets.contains(target_id)) return;
-  this->target_changes[target_id] = ++this->last_target_change;
+  const auto target = this->targets.find(target_id);
+  if (target != this->targets.end()) target->second.last_change = ++this->last_target_change;
 }
 
 std::size_t WorkloadState::Pending(const std::string& queue) const {
@@ -421,8 +412,7 @@
   for (const TargetIncarnation& target : this->retired) {
     this->last_retired[target.id] = target.number;
   }
-  this->target_changes.clear();
-  for (const auto& [id, target] : this->targets) this->NoteChangeOf(id);
+  for (auto& [id, target] : this->targets) target.last_change = ++this->last_target_change;
   this->ready.clear();
   this->running_on.clear();
   this->scheduled_jobs.clear();
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -48,9 +48,6 @@
   [[nodiscard]] const std::map<TargetIncarnation, std::set<TaskRef>>& RunningOn() const {
     return this->running_on;
   }
-  /// Number of the last change of a registered target's record or of the tasks that run on it, so
-  /// that results derived from them can be kept. Numbers differ between replicas.
-  [[nodiscard]] std::uint64_t LastChangeOf(const std::string& target_id) const;
   /// Periodic jobs with occurrences that aren't due yet.
   [[nodiscard]] const std::set<JobId>& ScheduledJobs() const { return this->scheduled_jobs; }
   /// Number of accepted non-periodic jobs of a queue of which no task has started.
@@ -92,7 +89,6 @@
   std::set<StepRef> ready;
   std::map<TargetIncarnation, std::set<TaskRef>> running_on;
   std::set<JobId> scheduled_jobs;
-  std::unordered_map<std::string, std::uint64_t> target_changes;
   std::uint64_t last_target_change = 0;
 };
 
--- a/tests/auto/dispatch/tst_planner.cc
+++ b/tests/auto/dispatch/tst_planner.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "dispatch/planner.h"
 
 namespace mangoroad::dispatch {
@@ -144,6 +145,127 @@
   CHECK(fleet.planner.Effort().measured_targets - after_next.measured_targets == 1);
 }
 
+// Guards against rounds that compare each waiting step with the whole fleet again: a leader that is
+// behind then plans ever more slowly, and the backlog grows.
+TEST_CASE("the effort of a round doesn't grow with the backlog") {
+  constexpr std::uint64_t kTargets = 300;
+  constexpr std::uint64_t kWaitingSteps = 30;
+  Fleet fleet(kTargets);
+  fleet.Submit("serving", 0, LongRunning(kTargets, 12'000));
+  const auto serving = fleet.Round();
+  REQUIRE(serving.size() == kTargets);
+  for (std::uint64_t i = 0; i < kWaitingSteps; ++i) {
+    const std::string name = "image" + std::to_string(i);
+    fleet.Submit(name, 2, BestEffort(60, 3'500, name));
+  }
+  REQUIRE(fleet.Round().empty());
+
+  const PlanningEffort before = fleet.planner.Effort();
+  fleet.now_ms += 30;
+  fleet.End(serving.front(), workload::RunEnd::kFailed);
+  fleet.state.Apply(workload::Cancel{"serving", fleet.now_ms});
+  REQUIRE(!fleet.Round().empty());
+  const PlanningEffort after_end = fleet.planner.Effort();
+  CHECK(after_end.scored_targets - before.scored_targets <= 4 * kWaitingSteps);
+  fleet.now_ms += 30;
+  CHECK(fleet.Round().empty());
+  CHECK(fleet.planner.Effort().scored_targets - after_end.scored_targets <= 2 * kWaitingSteps);
+}
+
+// Guards against a backlog of best-effort work that is committed faster than targets confirm it:
+// urgent starts and the ends of all runs then queue behind it.
+TEST_CASE("best-effort starts wait while many are on their way, urgent ones don't") {
+  constexpr std::size_t kLimit = PlanLimits{}.max_unconfirmed_best_effort;
+  Fleet fleet(40);
+  fleet.Submit("filling", 2, BestEffort(100, 100));
+  fleet.Submit("urgent", 0, Plain(20, 1'000));
+  const auto all = fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms, kLimit - 30);
+  CHECK(Fleet::CountOf(all, "urgent") == 20);
+  CHECK(Fleet::CountOf(all, "filling") == 30);
+  const auto urgent = fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms, kLimit + 5);
+  CHECK(Fleet::CountOf(urgent, "urgent") == 20);
+  CHECK(Fleet::CountOf(urgent, "filling") == 0);
+}
+
+// Guards against a step that finds no target because only the emptiest ones were scored.
+TEST_CASE("a step finds the only suitable target among many with more room") {
+  Fleet fleet(300);
+  StepSpec step = Plain(1, 1'000);
+  step.required_label = "r77";
+  fleet.Submit("labelled", 0, step);
+  fleet.Submit("first", 0, Plain(1, 9'000));
+  workload::RunChanges changes;
+  changes.starts = {{{"first", 0, 0, 0}, 1, {"t154", 1}}};
+  fleet.state.Apply(changes);
+  const auto starts = fleet.Round();
+  REQUIRE(starts.size() == 1);
+  CHECK(fleet.state.Targets().at(starts.front().target.id).rack == "r77");
+}
+
+/// Changes a fleet at random: jobs, ends, drains, and targets that are avoided for a while.
+void ChangeAtRandom(Fleet& fleet, base::Random& random, std::vector<Start>& running) {
+  fleet.now_ms += 20;
+  const std::string id = "t" + std::to_string(random.Below(6));
+  switch (random.Below(6)) {
+    case 0:
+      fleet.tracker.OnRefused(*fleet.tracker.Find(id), At(fleet.now_ms));
+      break;
+    case 1: {
+      workload::TargetRecord record = fleet.state.Targets().at(id);
+      record.incarnation.number += 1;
+      record.draining = random.Below(2) == 0;
+      fleet.state.Apply(workload::RegisterTarget{record});
+      fleet.tracker.FindOrCreate(record.incarnation).is_fenced = true;
+      break;
+    }
+    case 2:
+    case 3: {
+      const auto count = 1 + static_cast<std::uint32_t>(random.Below(12));
+      const auto cpu = 500 + 500 * static_cast<std::int64_t>(random.Below(12));
+      StepSpec step = random.Below(2) == 0 ? Plain(count, cpu)
+                                           : BestEffort(count, cpu, random.Below(2) ? "a" : "b");
+      if (random.Below(4) == 0) step.max_per_target = 1;
+      if (random.Below(4) == 0) step.required_label = "even";
+      fleet.Submit("j" + std::to_string(fleet.now_ms), random.Below(3) == 0 ? 0 : 2, step);
+      break;
+    }
+    default:
+      for (std::uint64_t i = 0; i < 3 && !running.empty(); ++i) {
+        std::swap(running[random.Below(static_cast<std::uint32_t>(running.size()))],
+                  running.back());
+        fleet.End(running.back(), workload::RunEnd::kDone);
+        running.pop_back();
+      }
+  }
+}
+
+// Guards against steps that go on waiting, or start elsewhere, because a target that has changed
+// isn't considered again.
+TEST_CASE("a planner that remembers earlier rounds plans the same as one that doesn't") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    base::Random random(seed);
+    Fleet fleet(6);
+    std::vector<Start> running;
+    for (int i = 0; i < 120; ++i) {
+      ChangeAtRandom(fleet, random, running);
+      for (const auto& [id, record] : fleet.state.Targets()) {
+        fleet.tracker.FindOrCreate(record.incarnation).last_contact = At(fleet.now_ms);
+      }
+      Planner fresh(fleet.state, fleet.tracker, {});
+      const auto expected = fresh.Plan(At(fleet.now_ms), fleet.now_ms);
+      const auto starts = fleet.planner.Plan(At(fleet.now_ms), fleet.now_ms);
+      INFO("seed " << seed << ", round " << i);
+      REQUIRE(std::ranges::equal(starts, expected, [](const Start& a, const Start& b) {
+        return a.task == b.task && a.run == b.run && a.target == b.target;
+      }));
+      RunChanges changes;
+      changes.starts = starts;
+      fleet.state.Apply(changes);
+      running.insert(running.end(), starts.begin(), starts.end());
+    }
+  }
+}
+
 // Guards against capacities that are kept although the tasks on the target have changed.
 TEST_CASE("a round sees ends, cancellations, drains and new targets since the last one") {
   Fleet fleet(2);
