--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -65,6 +65,7 @@
   job.spec = command.spec;
   job.remaining_ms = RemainingCriticalPathsMs(job.spec);
   job.accepted_ms = command.at_ms;
+  this->CountPending(job, +1);
   if (job.spec.occurrences > 0) {
     this->scheduled_jobs.insert(job.id);
   } else {
@@ -79,6 +80,7 @@
     // Recorded so that a submission that arrives after its cancellation starts nothing.
     Job& job = this->jobs[command.id];
     job.id = command.id;
+    job.state = JobState::kCancelled;
     job.accepted_ms = command.at_ms;
     this->Finish(job, JobState::kCancelled, command.at_ms);
     return Outcome::kNotFound;
@@ -179,6 +181,7 @@
   step->running += 1;
   this->running_on[start.target].insert(start.task);
   this->NoteChangeOf(start.target.id);
+  this->CountPending(*job, -1);
   job->state = JobState::kRunning;
   this->UpdateReady(*job, start.task.occurrence, start.task.step);
 }
@@ -270,6 +273,7 @@
 }
 
 void WorkloadState::Finish(Job& job, JobState state, std::int64_t at_ms) {
+  this->CountPending(job, -1);
   job.state = state;
   job.finished_ms = at_ms;
   this->finished.push_back(job.id);
@@ -369,11 +373,14 @@
   if (target != this->targets.end()) target->second.last_change = ++this->last_target_change;
 }
 
+void WorkloadState::CountPending(const Job& job, int change) {
+  const bool is_pending = job.state == JobState::kQueued && job.spec.occurrences == 0;
+  if (is_pending) this->pending[job.queue] += static_cast<std::size_t>(change);
+}
+
 std::size_t WorkloadState::Pending(const std::string& queue) const {
-  return static_cast<std::size_t>(std::ranges::count_if(this->jobs, [&](const auto& entry) {
-    return entry.second.queue == queue && entry.second.state == JobState::kQueued &&
-           entry.second.spec.occurrences == 0;
-  }));
+  const auto found = this->pending.find(queue);
+  return found == this->pending.end() ? 0 : found->second;
 }
 
 std::string WorkloadState::Snapshot() const {
@@ -416,7 +423,9 @@
   this->ready.clear();
   this->running_on.clear();
   this->scheduled_jobs.clear();
+  this->pending.clear();
   for (const auto& [id, job] : this->jobs) {
+    this->CountPending(job, +1);
     if (!IsFinal(job.state) && HasOccurrencesLeft(job)) this->scheduled_jobs.insert(id);
     for (const auto& [occurrence, steps] : job.open) {
       for (std::uint32_t step = 0; step < steps.size(); ++step) {
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -69,6 +70,8 @@
   void MarkDone(Job& job, const TaskRef& ref);
   void CompleteIfDone(Job& job, std::uint32_t occurrence, std::int64_t at_ms);
   void Finish(Job& job, JobState state, std::int64_t at_ms);
+  /// Adds `change` to the number of pending jobs of its queue, if the job is one.
+  void CountPending(const Job& job, int change);
   /// Removes the occurrences of a final job that have no running tasks.
   void ReleaseEndedOccurrences(Job& job);
   void UpdateReady(const Job& job, std::uint32_t occurrence, std::uint32_t step);
@@ -89,6 +92,7 @@
   std::set<StepRef> ready;
   std::map<TargetIncarnation, std::set<TaskRef>> running_on;
   std::set<JobId> scheduled_jobs;
+  std::map<std::string, std::size_t, std::less<>> pending;  ///< by queue, see Pending
   std::uint64_t last_target_change = 0;
 };
 
--- a/tests/auto/workload/tst_workload_state.cc
+++ b/tests/auto/workload/tst_workload_state.cc
@@ -264,6 +264,29 @@
   CHECK(fixture.State() == JobState::kComplete);
 }
 
+// Guards against a number of pending jobs that differs from the jobs themselves.
+TEST_CASE("jobs are pending until a task starts or they end") {
+  Fixture fixture;
+  fixture.Submit({PlainStep(1)});
+  fixture.Submit({PlainStep(1)}, "00000000000000bb");
+  fixture.Submit({PlainStep(1)}, "00000000000000cc");
+  fixture.state.Apply(Cancel{"00000000000000dd", 1'000});
+  CHECK(fixture.state.Pending("match") == 3);
+  CHECK(fixture.state.Pending("other") == 0);
+  fixture.Start(0, 0, 1);
+  CHECK(fixture.state.Pending("match") == 2);
+  fixture.End(0, 0, 1, RunEnd::kFailed);
+  fixture.Start(0, 0, 2);
+  fixture.End(0, 0, 2, RunEnd::kDone);
+  CHECK(fixture.state.Pending("match") == 2);
+  fixture.state.Apply(Cancel{"00000000000000bb", 1'000});
+  fixture.state.Apply(Cancel{"00000000000000bb", 1'000});
+  CHECK(fixture.state.Pending("match") == 1);
+  WorkloadState restored;
+  REQUIRE(restored.Restore(fixture.state.Snapshot()));
+  CHECK(restored.Pending("match") == 1);
+}
+
 /// Applies a random start or end, as competing leaders could leave them in the log.
 void ApplyRandomChange(WorkloadState& state, base::Random& random) {
   const TaskRef task{kJob, 0, random.Below(2), random.Below(3)};
