Don't shorten leases by the time that a response waited to be read

Cause: the deadline of a lease was computed from the latest clock reading of the target as if it had been current when it was read. A leader that reads responses 1 s late grants leases that are 1 s shorter, renews them late, and starts the lapsed runs again, which adds to its load. Change: deadlines are computed from the reading that took the shortest time, aged by the drift of the slowest clock allowed. Whether a lease has expired is still computed from the latest reading, so it is never assumed too early. Conclusion: class of the fault: a feedback from lateness to load.

--- a/src/libs/dispatch/lease_clock.cc
+++ b/src/libs/dispatch/lease_clock.cc
@@ -19,15 +19,23 @@
 void LeaseClock::OnClock(base::TimePoint received, TargetMilliseconds shown) {
   // A response that was overtaken by a newer one is ignored.
   if (this->clock && shown < *this->clock) return;
+  if (!this->clock || shown >= this->Estimate(received)) {
+    this->prompt_clock = shown;
+    this->prompt_received = received;
+  }
   this->clock = shown;
   this->clock_received = received;
 }
 
+TargetMilliseconds LeaseClock::Estimate(base::TimePoint now) const {
+  const base::Duration elapsed = now - this->prompt_received;
+  return this->prompt_clock + base::ToMilliseconds(elapsed - elapsed / kDriftDivisor);
+}
+
 std::optional<TargetMilliseconds> LeaseClock::Grant(base::TimePoint now) {
   if (!this->clock) return std::nullopt;
-  const TargetMilliseconds deadline = *this->clock +
-                                      base::ToMilliseconds(now - this->clock_received) +
-                                      base::ToMilliseconds(this->durations.grant);
+  const TargetMilliseconds deadline =
+      this->Estimate(now) + base::ToMilliseconds(this->durations.grant);
   this->granted_deadline = std::max(this->granted_deadline, deadline);
   return deadline;
 }
@@ -38,8 +46,7 @@
 
 std::optional<base::Duration> LeaseClock::Left(base::TimePoint now) const {
   if (!this->clock || this->granted_deadline == 0) return std::nullopt;
-  return std::chrono::milliseconds(this->granted_deadline - *this->clock) -
-         (now - this->clock_received);
+  return std::chrono::milliseconds(this->granted_deadline - this->Estimate(now));
 }
 
 base::TimePoint LeaseClock::SafeExpiry() const {
--- a/src/libs/dispatch/lease_clock.h
+++ b/src/libs/dispatch/lease_clock.h
@@ -3,6 +3,9 @@
 //
 // A lease ends at a deadline on the target's own clock, which may be 2% slow. The leader sees that
 // clock only in responses: a value read at `received` was current at that moment or before it.
+// Whether a lease has expired is derived from the latest value, as if it had been current when it
+// was received. Deadlines are derived from the value that took the shortest time to be received:
+// otherwise a leader that reads responses late would grant leases that are shorter by that delay.
 #pragma once
 
 #include <cstdint>
@@ -36,8 +39,8 @@
   std::optional<TargetMilliseconds> Grant(base::TimePoint now);
   /// The latest granted deadline, for a request that mustn't extend it; nothing if there is none.
   [[nodiscard]] std::optional<TargetMilliseconds> GrantedDeadline() const;
-  /// Time until the latest granted deadline by the latest known clock of the target; negative when
-  /// it has passed, nothing before a deadline was granted.
+  /// Time until the latest granted deadline by the target's clock as far as it is known; negative
+  /// when it has passed, nothing before a deadline was granted.
   [[nodiscard]] std::optional<base::Duration> Left(base::TimePoint now) const;
   /// After this time all runs of this incarnation have certainly ended, unless a later request
   /// extends the lease.
@@ -46,8 +49,14 @@
  private:
   LeaseDurations durations;
   base::TimePoint inherited_expiry;
+  /// The least that the target's clock can show at `now`.
+  [[nodiscard]] TargetMilliseconds Estimate(base::TimePoint now) const;
+
   std::optional<TargetMilliseconds> clock;
   base::TimePoint clock_received;
+  /// The value from which the estimate is the highest.
+  TargetMilliseconds prompt_clock = 0;
+  base::TimePoint prompt_received;
   TargetMilliseconds granted_deadline = 0;
 };
 
--- a/tests/auto/dispatch/tst_lease_clock.cc
+++ b/tests/auto/dispatch/tst_lease_clock.cc
@@ -49,6 +49,22 @@
   CHECK_FALSE(lease.GrantedDeadline().has_value());
 }
 
+// Guards against leases that a leader shortens by its own lateness: runs lapse and are started
+// again, which adds to the load that made it late.
+TEST_CASE("a response that was read late doesn't shorten the lease") {
+  const LeaseDurations durations;
+  LeaseClock lease(durations, At(0));
+  lease.OnClock(At(10'010), SlowClock(10'000));
+  lease.OnClock(At(11'900), SlowClock(11'000));
+  const auto deadline = Required(lease.Grant(At(11'900)));
+  CHECK(milliseconds(deadline - SlowClock(11'900)) >= durations.grant - milliseconds(60));
+  CHECK(milliseconds(deadline - SlowClock(11'900)) <= durations.grant);
+  // It still counts as expired only after the target's clock has passed the deadline.
+  std::int64_t expires_at = 11'900;
+  while (SlowClock(expires_at) < deadline) ++expires_at;
+  CHECK(lease.SafeExpiry() > At(expires_at));
+}
+
 // Guards against an overtaken response that sets the clock back, which would shorten leases.
 TEST_CASE("an older response doesn't replace a newer one") {
   LeaseClock lease({}, At(0));
