Append plain texts to JSON log lines without a JSON value

Change: texts without characters that need escapes, and integers, are appended to the line as they are; the lines are the same. Result: tst_log passes unchanged (parsing, escapes, redaction). Its share of the processor time wasn't measured alone.

--- a/src/libs/log/log_line.cc
+++ b/src/libs/log/log_line.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 
@@ -65,21 +66,34 @@
       value);
 }
 
-std::string JsonValue(const Field::Value& value) {
-  return std::visit(
-      [](const auto& v) -> std::string {
+/// Most texts need no escapes; these are appended as they are, since logging each start and end is
+/// a visible part of a leader's processor time.
+void AppendQuoted(std::string& line, std::string_view text) {
+  const bool is_plain = std::ranges::all_of(
+      text, [](char c) { return c >= ' ' && c <= '~' && c != '"' && c != '\\'; });
+  if (!is_plain) {
+    line += Quoted(text);
+    return;
+  }
+  line += '"';
+  line += text;
+  line += '"';
+}
+
+void AppendJsonValue(std::string& line, const Field::Value& value) {
+  std::visit(
+      [&line](const auto& v) {
         using T = std::decay_t<decltype(v)>;
         if constexpr (std::is_same_v<T, Secret>) {
-          return Quoted(kRedacted);
-        }
-        if constexpr (std::is_same_v<T, std::string_view>) {
-          return Quoted(v);
-        }
-        if constexpr (std::is_same_v<T, base::Duration>) {
-          return fmt::format("{}", Milliseconds(v));
-        }
-        if constexpr (std::is_arithmetic_v<T>) {
-          return nlohmann::json(v).dump();
+          AppendQuoted(line, kRedacted);
+        } else if constexpr (std::is_same_v<T, std::string_view>) {
+          AppendQuoted(line, v);
+        } else if constexpr (std::is_same_v<T, base::Duration>) {
+          fmt::format_to(std::back_inserter(line), "{}", Milliseconds(v));
+        } else if constexpr (std::is_same_v<T, double>) {
+          line += nlohmann::json(v).dump();
+        } else {
+          fmt::format_to(std::back_inserter(line), "{}", v);
         }
       },
       value);
@@ -96,9 +110,13 @@
 }
 
 std::string JsonMembers(std::string_view event, Fields fields) {
-  std::string members = fmt::format("\"event\":{}", Quoted(event));
+  std::string members = "\"event\":";
+  AppendQuoted(members, event);
   for (const Field& field : fields) {
-    members += fmt::format(",{}:{}", Quoted(field.key), JsonValue(Visible(field)));
+    members += ',';
+    AppendQuoted(members, field.key);
+    members += ':';
+    AppendJsonValue(members, Visible(field));
   }
   return members;
 }
