Don't let results delay the signs of life of delegates, nor themselves

Cause: delegates with time to spare sent 2,900 messages a second, one for each result or two. The leader handled one message a turn of its loop, followed by plans, commits and flushes; 1,007 waited for up to 422 ms while the loop's timer was 10 ms late. Heartbeats waited in the same queue, so a leader that was 1 s behind took its delegates for lost, and then had their work to do as well. A batch of an earlier process is ignored when it is handled after the new one's heartbeat. Calls of a lost delegate that weren't sent count as not carried. A new leader sends nothing for 150 ms, in which it hears of the delegates; without any, for 400 ms. Conclusion: class of the fault: a health check that measures load, and a fallback that adds load, which together make an overload last.

--- a/src/libs/controller/call_delegate.cc
+++ b/src/libs/controller/call_delegate.cc
@@ -30,6 +30,7 @@
   this->known_leader = leader;
   this->leader_seen_after.reset();
   this->leader_clock_us = 0;
+  this->last_heartbeat = {};
   this->delegates.clear();
   this->results.clear();
   this->contacts.clear();
@@ -49,9 +50,17 @@
   }
   const base::TimePoint sent_after{base::Duration(batch.delegate_clock_us)};
   if (now - sent_after > kMaxPermissionAge) return this->Refuse(batch, "too old");
-  this->leader_seen_after = sent_after;
-  this->leader_clock_us = batch.leader_clock_us;
-  this->delegates = batch.delegates;
+  // Heartbeats overtake batches that wait for their turn.
+  if (this->leader_clock_us == 0) {
+    // The leader uses this delegate once its clock has come back.
+    this->last_heartbeat = {};
+    this->link.RequestFlush();
+  }
+  if (batch.leader_clock_us >= this->leader_clock_us) {
+    this->leader_seen_after = sent_after;
+    this->leader_clock_us = batch.leader_clock_us;
+    this->delegates = batch.delegates;
+  }
   for (const DelegatedCall& call : batch.calls) this->Send(now, call);
   for (const ReportVerdict& verdict : batch.verdicts) {
     const auto found = this->pending_reports.find(verdict.number);
@@ -136,15 +145,21 @@
 
 void CallDelegate::Flush(base::TimePoint now) {
   if (this->known_leader.address.empty()) return;
-  const bool heartbeat_due = now - this->last_sent >= kDelegationHeartbeat;
-  if (this->results.empty() && this->reports.empty() && !heartbeat_due) return;
-  this->last_sent = now;
   ResultBatch batch;
   batch.fence = this->known_leader.fence;
   batch.failure_domain = this->failure_domain;
   batch.incarnation = this->incarnation;
   batch.clock_us = now.time_since_epoch().count();
   batch.leader_clock_us = this->leader_clock_us;
+  const bool is_heartbeat_due = now - this->last_heartbeat >= kDelegationHeartbeat;
+  if (is_heartbeat_due) {
+    this->last_heartbeat = now;
+    this->link.SendResults(this->known_leader.address, batch);
+  }
+  if (this->results.empty() && this->reports.empty() &&
+      (this->contacts.empty() || !is_heartbeat_due)) {
+    return;
+  }
   batch.results = std::exchange(this->results, {});
   batch.contacts = std::exchange(this->contacts, {});
   batch.reports = std::exchange(this->reports, {});
--- a/src/libs/controller/call_delegate.h
+++ b/src/libs/controller/call_delegate.h
@@ -81,7 +81,7 @@
   std::optional<base::TimePoint> leader_seen_after;
   std::int64_t leader_clock_us = 0;
   std::vector<DelegateAddress> delegates;
-  base::TimePoint last_sent;
+  base::TimePoint last_heartbeat;
   std::vector<DelegatedResult> results;
   /// Of calls other than polls, which wait at their target.
   DelaySum call_delays;
--- a/src/libs/controller/call_delegator.cc
+++ b/src/libs/controller/call_delegator.cc
@@ -37,6 +37,7 @@
   this->EndTerm();
   this->leading = true;
   this->fence = new_fence;
+  this->term_start = now;
   this->UpdateUsable(now);
 }
 
@@ -53,6 +54,13 @@
   }
 }
 
+bool CallDelegator::IsReady(base::TimePoint now) const {
+  if (this->reports.target_count() < this->settings.min_targets) return true;
+  const base::Duration elapsed = now - this->term_start;
+  return elapsed >=
+         (this->usable.empty() ? this->settings.max_settling : this->settings.min_settling);
+}
+
 void CallDelegator::Start(const TargetEndpoint& to, const StartRequest& request, OnResponse done) {
   if (!this->PassOn(to, request, {}, done)) this->direct.Start(to, request, std::move(done));
 }
@@ -78,8 +86,8 @@
   const std::string name = this->DelegateOf(to);
   if (name.empty()) return false;
   const std::uint64_t number = ++this->last_number;
-  this->pending.emplace(
-      number, PendingCall{name, std::move(done), this->settings.result_timeout + wait, {}});
+  this->pending.emplace(number, PendingCall{name, std::move(done),
+                                            this->settings.result_timeout + wait, std::nullopt});
   this->delegates.at(name).calls.push_back({number, to, std::move(request)});
   this->link.RequestFlush();
   return true;
@@ -110,15 +118,20 @@
   return numbers;
 }
 
-void CallDelegator::GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers,
-                           CallStatus status) {
+std::optional<CallDelegator::PendingCall> CallDelegator::TakePending(std::uint64_t number) {
+  const auto found = this->pending.find(number);
+  if (found == this->pending.end()) return std::nullopt;
+  PendingCall call = std::move(found->second);
+  this->pending.erase(found);
+  if (call.expires) this->expiries.erase({*call.expires, number});
+  return call;
+}
+
+void CallDelegator::GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers) {
   for (const std::uint64_t number : numbers) {
-    const auto found = this->pending.find(number);
-    if (found == this->pending.end()) continue;
-    const PendingCall call = std::move(found->second);
-    this->pending.erase(found);
-    this->expiries.erase({call.expires, number});
-    Respond(now, call.done, status);
+    const auto call = this->TakePending(number);
+    if (!call) continue;
+    Respond(now, call->done, call->expires ? CallStatus::kDelegateLost : CallStatus::kNotCarried);
   }
 }
 
@@ -127,12 +140,19 @@
   Delegate& sender = this->delegates[delegate];
   std::vector<std::uint64_t> lost;
   if (sender.incarnation != batch.incarnation) {
+    // A batch that has waited may come from an earlier process than the latest heartbeat.
+    if (!batch.IsHeartbeat()) return;
     // The process was restarted and knows nothing of earlier calls.
     lost = this->CallsOf(delegate);
     sender.calls.clear();
     sender.clock_us = 0;
     sender.reached.reset();
   }
+  if (this->leading && !sender.reached) {
+    // The delegate waits for the clock of this term's leader.
+    sender.last_heartbeat = {};
+    this->link.RequestFlush();
+  }
   sender.failure_domain = batch.failure_domain;
   sender.incarnation = batch.incarnation;
   sender.clock_us = std::max(sender.clock_us, batch.clock_us);
@@ -143,7 +163,7 @@
     sender.reached = std::max(sender.reached.value_or(sent), sent);
   }
   this->UpdateUsable(now);
-  this->GiveUp(now, lost, CallStatus::kDelegateLost);
+  this->GiveUp(now, lost);
   for (const TargetContact& contact : batch.contacts) this->reports.on_contact(now, contact);
   for (const RelayedReport& report : batch.reports) {
     this->reports.on_report(now, report.announcement,
@@ -157,16 +177,14 @@
   for (const DelegatedResult& result : batch.results) {
     const auto found = this->pending.find(result.number);
     if (found == this->pending.end() || found->second.delegate != delegate) continue;
-    const PendingCall call = std::move(found->second);
-    this->pending.erase(found);
-    this->expiries.erase({call.expires, result.number});
+    const auto call = this->TakePending(result.number);
     refused = refused || result.status == CallStatus::kNotCarried;
-    if (const auto* on_response = std::get_if<OnResponse>(&call.done)) {
+    if (const auto* on_response = std::get_if<OnResponse>(&call->done)) {
       (*on_response)(now, {result.status, result.clock});
     } else if (result.status == CallStatus::kDone && !result.lists) {
-      Respond(now, call.done, CallStatus::kInvalid);
+      Respond(now, call->done, CallStatus::kInvalid);
     } else {
-      std::get<OnPollResponse>(call.done)(
+      std::get<OnPollResponse>(call->done)(
           now, {result.status, result.lists.value_or(dispatch::TargetLists{})});
     }
   }
@@ -176,41 +194,53 @@
   }
 }
 
+CallBatch CallDelegator::MakeBatch(base::TimePoint now, const Delegate& delegate) const {
+  CallBatch batch;
+  batch.fence = this->fence;
+  batch.delegate_incarnation = delegate.incarnation;
+  batch.delegate_clock_us = delegate.clock_us;
+  batch.leader_clock_us = now.time_since_epoch().count();
+  batch.delegates = this->usable;
+  return batch;
+}
+
+bool CallDelegator::SendBatch(base::TimePoint now, const std::string& name, Delegate& delegate) {
+  CallBatch batch = this->MakeBatch(now, delegate);
+  batch.verdicts = std::exchange(delegate.verdicts, {});
+  const auto count =
+      static_cast<std::ptrdiff_t>(std::min(delegate.calls.size(), this->settings.max_batch));
+  batch.calls.assign(std::make_move_iterator(delegate.calls.begin()),
+                     std::make_move_iterator(delegate.calls.begin() + count));
+  delegate.calls.erase(delegate.calls.begin(), delegate.calls.begin() + count);
+  if (batch.IsHeartbeat()) return false;
+  const bool is_sent = this->link.SendCalls(name, batch);
+  std::vector<std::uint64_t> unsent;
+  for (const DelegatedCall& call : batch.calls) {
+    const auto found = this->pending.find(call.number);
+    if (found == this->pending.end()) continue;
+    if (!is_sent) {
+      unsent.push_back(call.number);
+      continue;
+    }
+    found->second.expires = now + found->second.timeout;
+    this->expiries.emplace(*found->second.expires, call.number);
+  }
+  this->GiveUp(now, unsent);
+  return is_sent;
+}
+
 void CallDelegator::Flush(base::TimePoint now) {
   if (!this->leading) return;
-  std::vector<std::uint64_t> unsent;
+  // Responses to calls that can't be sent may lead to further ones, which the next flush sends.
   for (auto& [name, delegate] : this->delegates) {
-    const bool heartbeat_due = now - delegate.last_sent >= kDelegationHeartbeat;
-    if (delegate.calls.empty() && delegate.verdicts.empty() && !heartbeat_due) continue;
-    if (now - delegate.last_heard > this->settings.max_silence && delegate.calls.empty()) continue;
-    do {
-      CallBatch batch;
-      batch.fence = this->fence;
-      batch.delegate_incarnation = delegate.incarnation;
-      batch.delegate_clock_us = delegate.clock_us;
-      batch.leader_clock_us = now.time_since_epoch().count();
-      batch.delegates = this->usable;
-      batch.verdicts = std::exchange(delegate.verdicts, {});
-      const auto count =
-          static_cast<std::ptrdiff_t>(std::min(delegate.calls.size(), this->settings.max_batch));
-      batch.calls.assign(std::make_move_iterator(delegate.calls.begin()),
-                         std::make_move_iterator(delegate.calls.begin() + count));
-      delegate.calls.erase(delegate.calls.begin(), delegate.calls.begin() + count);
-      delegate.last_sent = now;
-      const bool sent = this->link.SendCalls(name, batch);
-      for (const DelegatedCall& call : batch.calls) {
-        const auto found = this->pending.find(call.number);
-        if (found == this->pending.end()) continue;
-        if (!sent) {
-          unsent.push_back(call.number);
-          continue;
-        }
-        found->second.expires = now + found->second.timeout;
-        this->expiries.emplace(found->second.expires, call.number);
-      }
-    } while (!delegate.calls.empty());
+    const bool is_silent = now - delegate.last_heard > this->settings.max_silence;
+    if (!is_silent && now - delegate.last_heartbeat >= kDelegationHeartbeat) {
+      delegate.last_heartbeat = now;
+      this->link.SendCalls(name, this->MakeBatch(now, delegate));
+    }
+    while (this->SendBatch(now, name, delegate)) {
+    }
   }
-  this->GiveUp(now, unsent, CallStatus::kNotCarried);
 }
 
 bool CallDelegator::IsReached(base::TimePoint now, const Delegate& delegate) const {
@@ -238,9 +268,9 @@
   if (!this->leading) return;
   this->UpdateUsable(now);
   std::vector<std::uint64_t> overdue;
-  while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
-    overdue.push_back(this->expiries.begin()->second);
-    this->expiries.erase(this->expiries.begin());
+  for (const auto& [expires, number] : this->expiries) {
+    if (expires > now) break;
+    overdue.push_back(number);
   }
   for (auto& [name, delegate] : this->delegates) {
     if (this->IsReached(now, delegate)) continue;
@@ -251,7 +281,7 @@
                  {{"delegate", name}, {"calls", lost.size()}});
     overdue.insert(overdue.end(), lost.begin(), lost.end());
   }
-  this->GiveUp(now, overdue, CallStatus::kDelegateLost);
+  this->GiveUp(now, overdue);
   this->Flush(now);
 }
 
--- a/src/libs/controller/call_delegator.h
+++ b/src/libs/controller/call_delegator.h
@@ -47,6 +47,11 @@
   base::Duration result_timeout = std::chrono::milliseconds(1200);
   /// A delegate that refused calls, since it knows another leader, isn't used for this long.
   base::Duration avoid_after_refusal = std::chrono::milliseconds(1000);
+  /// In a new term nothing is sent before `min_settling`, in which the delegates are usually heard,
+  /// and without any delegate before `max_settling`. A new leader that polls 1,100 targets itself
+  /// has no time for anything else for most of a second; leases are several times longer.
+  base::Duration min_settling = std::chrono::milliseconds(150);
+  base::Duration max_settling = std::chrono::milliseconds(400);
   /// Calls in one message.
   std::size_t max_batch = 500;
 };
@@ -75,6 +80,7 @@
   void BeginTerm(base::TimePoint now, Fence new_fence);
   void EndTerm();
 
+  [[nodiscard]] bool IsReady(base::TimePoint now) const override;
   void Start(const TargetEndpoint& to, const StartRequest& request, OnResponse done) override;
   void Stop(const TargetEndpoint& to, const StopRequest& request, OnResponse done) override;
   void Throttle(const TargetEndpoint& to, const ThrottleRequest& request, OnResponse done) override;
@@ -97,7 +103,8 @@
     std::string delegate;
     Callback done;
     base::Duration timeout{};
-    base::TimePoint expires;  ///< set when the call is sent
+    /// Set when the call is sent.
+    std::optional<base::TimePoint> expires;
   };
   struct Delegate {
     std::string failure_domain;
@@ -106,8 +113,9 @@
     base::TimePoint last_heard;
     /// The delegate has received a batch that was sent at this time.
     std::optional<base::TimePoint> reached;
-    base::TimePoint last_sent;
+    base::TimePoint last_heartbeat;
     base::TimePoint avoid_until;
+    /// Calls that wait to be sent.
     std::vector<DelegatedCall> calls;
     std::vector<ReportVerdict> verdicts;
   };
@@ -116,7 +124,13 @@
   bool PassOn(const TargetEndpoint& to, DelegatedRequest request, base::Duration wait,
               Callback done);
   static void Respond(base::TimePoint now, const Callback& done, CallStatus status);
-  void GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers, CallStatus status);
+  /// Ends the calls: those that were sent as possibly executed, the others as not carried.
+  void GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers);
+  /// Removes a call that got its result or is given up.
+  std::optional<PendingCall> TakePending(std::uint64_t number);
+  [[nodiscard]] CallBatch MakeBatch(base::TimePoint now, const Delegate& delegate) const;
+  /// Sends the next calls and verdicts; false when there are none, or they are certainly not sent.
+  bool SendBatch(base::TimePoint now, const std::string& name, Delegate& delegate);
   [[nodiscard]] std::vector<std::uint64_t> CallsOf(const std::string& delegate) const;
   [[nodiscard]] bool IsReached(base::TimePoint now, const Delegate& delegate) const;
   void UpdateUsable(base::TimePoint now);
@@ -127,6 +141,7 @@
   DelegationSettings settings;
   bool leading = false;
   Fence fence = 0;
+  base::TimePoint term_start;
   std::uint64_t last_number = 0;
   std::map<std::string, Delegate> delegates;
   /// Delegates in use, in the order of their addresses.
--- a/src/libs/controller/delegation_messages.h
+++ b/src/libs/controller/delegation_messages.h
@@ -34,7 +34,8 @@
   bool accepted = false;
 };
 
-/// From the leader to a delegate. Sent at least every kDelegationHeartbeat, with or without calls.
+/// From the leader to a delegate. One without calls and verdicts is a heartbeat, sent every
+/// kDelegationHeartbeat and handled when it arrives, before batches that wait.
 struct CallBatch {
   Fence fence = 0;
   /// Process of the delegate for which the batch is meant.
@@ -48,6 +49,8 @@
   std::vector<DelegateAddress> delegates;
   std::vector<DelegatedCall> calls;
   std::vector<ReportVerdict> verdicts;
+
+  [[nodiscard]] bool IsHeartbeat() const { return this->calls.empty() && this->verdicts.empty(); }
 };
 
 struct DelegatedResult {
@@ -70,7 +73,7 @@
   Announcement announcement;
 };
 
-/// From a delegate to the leader. Sent at least every kDelegationHeartbeat.
+/// From a delegate to the leader. One without contents is a heartbeat, see CallBatch.
 struct ResultBatch {
   /// Fence of the calls to which the results belong.
   Fence fence = 0;
@@ -83,6 +86,10 @@
   std::vector<DelegatedResult> results;
   std::vector<TargetContact> contacts;
   std::vector<RelayedReport> reports;
+
+  [[nodiscard]] bool IsHeartbeat() const {
+    return this->results.empty() && this->contacts.empty() && this->reports.empty();
+  }
 };
 
 inline constexpr base::Duration kDelegationHeartbeat = std::chrono::milliseconds(200);
--- a/src/libs/controller/target_calls.h
+++ b/src/libs/controller/target_calls.h
@@ -101,6 +101,8 @@
   using OnPollResponse = std::function<void(base::TimePoint now, const PollResponse&)>;
 
   virtual ~TargetCalls() = default;
+  /// False while requests should wait, since a cheaper way to the targets is about to be known.
+  [[nodiscard]] virtual bool IsReady(base::TimePoint /*now*/) const { return true; }
   virtual void Start(const TargetEndpoint& to, const StartRequest& request, OnResponse done) = 0;
   virtual void Stop(const TargetEndpoint& to, const StopRequest& request, OnResponse done) = 0;
   virtual void Throttle(const TargetEndpoint& to, const ThrottleRequest& request,
