Look up each run once, and limit best-effort starts without a confirmation

Cause: evaluating a response cost the leader about 65 us: each running row led to look-ups of its job by name and of each pair of images, each response to a measurement of the interference model, although targets measure over half a second, to a new measurement of the target's capacity, and to a search for due requests. The limit of the planner on unconfirmed best-effort starts wasn't passed. Change: a run keeps its job and step; images are looked up once a response; the model observes a target once in 500 ms; capacities are measured anew when a baseline has moved by 0.05; requests are searched for when a rate is to change. Leases are checked without look-ups. RunManager passes the number of unconfirmed best-effort starts to the planner and waits until the calls are ready.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -55,6 +55,7 @@
   this->ends.clear();
   this->concluded.clear();
   this->orphans.clear();
+  this->unconfirmed_starts.clear();
   this->changed_targets.clear();
   this->proposal_in_flight = false;
 }
@@ -76,12 +77,28 @@
   const auto running = this->state.RunningOn().find(view.incarnation);
   if (running == this->state.RunningOn().end()) return;
   for (const TaskRef& ref : running->second) {
-    RunView& run = view.runs[ref];
+    RunView& run = this->AddRun(view, ref);
     run.run = this->state.FindTask(ref)->run;
     run.start_request = StartRequestState::kSent;
   }
 }
 
+RunView& RunManager::AddRun(TargetView& view, const TaskRef& task) const {
+  RunView& run = view.runs[task];
+  run.job = this->state.FindJob(task.job);
+  run.spec = this->state.SpecOf(task);
+  return run;
+}
+
+void RunManager::RemoveGang(const TaskRef& member) {
+  const workload::StepSpec* spec = this->state.SpecOf(member);
+  if (spec == nullptr || !spec->gang) return;
+  TaskRef task = member;
+  for (task.index = 0; task.index < spec->count; ++task.index) {
+    for (auto& [id, view] : this->targets.All()) view.runs.erase(task);
+  }
+}
+
 void RunManager::Conclude(const TaskRef& task, std::uint32_t run, const TargetIncarnation& target,
                           RunEnd how) {
   if (!this->concluded.emplace(task, run).second) return;
@@ -102,6 +119,7 @@
 }
 
 void RunManager::SendToChangedTargets(base::TimePoint now) {
+  if (!this->calls.IsReady(now)) return;
   for (const std::string& id : std::exchange(this->changed_targets, {})) {
     TargetView* view = this->targets.Find(id);
     if (view == nullptr) continue;
@@ -111,6 +129,7 @@
 }
 
 void RunManager::SendToAllTargets(base::TimePoint now) {
+  if (!this->calls.IsReady(now)) return;
   this->changed_targets.clear();
   for (auto& [id, view] : this->targets.All()) {
     this->SendDueRequests(now, view);
@@ -122,8 +141,7 @@
   this->SendThrottleRequests(view);
   bool more = false;
   for (auto& [task, run] : view.runs) {
-    const workload::Job* job = this->state.FindJob(task.job);
-    if (job == nullptr || workload::IsFinal(job->state) || run.is_migrating) {
+    if (run.job == nullptr || workload::IsFinal(run.job->state) || run.is_migrating) {
       more = true;
       if (run.start_request == StartRequestState::kToSend && !run.is_in_doubt) {
         this->Conclude(task, run.run, view.incarnation, RunEnd::kRefused);
@@ -166,9 +184,13 @@
   RunView& run = view.runs.at(task);
   run.start_request = StartRequestState::kSent;
   run.requested_at = now;
-  StartRequest request{
-      task,      run.run,    job->spec.payload, this->state.FindTask(task)->checkpoint,
-      *deadline, this->fence};
+  StartRequest request;
+  request.task = task;
+  request.run = run.run;
+  request.payload = job->spec.payload;
+  request.checkpoint = this->state.FindTask(task)->checkpoint;
+  request.deadline = *deadline;
+  request.fence = this->fence;
   const std::uint64_t sent_generation = this->generation;
   this->calls.Start(this->EndpointOf(*record), request,
                     [this, target = view.incarnation, task, run_number = run.run, sent_generation](
@@ -207,8 +229,9 @@
       run.start_request = StartRequestState::kConfirmed;
       run.confirmed_at = now;
       run.progressed_at = now;
-      if (const workload::StepSpec* spec = this->state.SpecOf(task)) {
-        this->statistics.OnStartConfirmed(now, run.committed_at, KindOf(*spec));
+      this->unconfirmed_starts.erase({task, run_number});
+      if (run.spec != nullptr) {
+        this->statistics.OnStartConfirmed(now, run.committed_at, KindOf(*run.spec));
       }
       break;
     case CallStatus::kNoCapacity:
@@ -289,11 +312,14 @@
       this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
     }
   }
+  // Both are in the order of names, so no target has to be looked up.
+  auto record = this->state.Targets().begin();
+  const auto end = this->state.Targets().end();
   for (const auto& [target, tasks] : this->state.RunningOn()) {
-    if (this->RecordOf(target) != nullptr) continue;
-    const auto newer = this->state.Targets().find(target.id);
-    const bool is_replaced =
-        this->replaced.contains(target) || newer != this->state.Targets().end();
+    while (record != end && record->first < target.id) ++record;
+    const bool has_record = record != end && record->first == target.id;
+    if (has_record && record->second.incarnation == target) continue;
+    const bool is_replaced = this->replaced.contains(target) || has_record;
     const base::TimePoint since = this->unregistered.emplace(target, now).first->second;
     if (!is_replaced && now - since < this->settings.leave_timeout) continue;
     for (const TaskRef& task : tasks) {
@@ -322,7 +348,7 @@
   changes.ends = std::exchange(this->ends, {});
   changes.due_occurrences = this->DueOccurrences(time_of_day_ms);
   if (std::exchange(this->plan_due, false)) {
-    changes.starts = this->planner.Plan(now, time_of_day_ms);
+    changes.starts = this->planner.Plan(now, time_of_day_ms, this->unconfirmed_starts.size());
     if (changes.starts.empty()) this->LogBacklog(now);
   }
   if (changes.ends.empty() && changes.due_occurrences.empty() && changes.starts.empty()) return;
@@ -375,6 +401,7 @@
   for (const End& end : changes->ends) {
     this->concluded.erase({end.task, end.run});
     this->orphans.erase({end.task, end.run});
+    this->unconfirmed_starts.erase({end.task, end.run});
     this->statistics.OnRunEnded(end.how);
     TargetView* view = this->targets.Find(end.target.id);
     log::Info(log::Category::kJobs, "run ended",
@@ -389,6 +416,7 @@
     this->targets.OnRunEnded(*view, end.how, now);
     const auto run = view->runs.find(end.task);
     if (run != view->runs.end() && run->second.run == end.run) view->runs.erase(run);
+    if (end.how == RunEnd::kDone) this->RemoveGang(end.task);
   }
   this->NoteStarts(now, *changes);
   for (const workload::Start& start : changes->starts) {
@@ -396,11 +424,14 @@
     if (task == nullptr || task->phase != TaskPhase::kRunning || task->run != start.run) continue;
     TargetView& view = this->targets.FindOrCreate(start.target);
     if (view.incarnation != start.target) continue;
-    RunView run;
+    view.runs.erase(start.task);
+    RunView& run = this->AddRun(view, start.task);
     run.run = start.run;
     run.requested_at = now;
     run.committed_at = now;
-    view.runs[start.task] = run;
+    if (run.spec != nullptr && run.spec->best_effort) {
+      this->unconfirmed_starts.emplace(start.task, start.run);
+    }
     view.has_pending_requests = true;
     this->MarkChanged(start.target.id);
   }
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -118,6 +118,10 @@
       const workload::TargetIncarnation& target) const;
   [[nodiscard]] TargetEndpoint EndpointOf(const workload::TargetRecord& record) const;
   void AdoptRuns(dispatch::TargetView& view);
+  /// A run of a task that the replicated state contains.
+  dispatch::RunView& AddRun(dispatch::TargetView& view, const workload::TaskRef& task) const;
+  /// The end of a gang's member is that of all others, which are listed on their own targets.
+  void RemoveGang(const workload::TaskRef& member);
   bool NeedsPoll(base::TimePoint now, const dispatch::TargetView& view,
                  const workload::TargetRecord& record) const;
   /// Sends a poll to a target when one is due.
@@ -155,7 +159,8 @@
   /// Runs of jobs that aren't final; where best-effort runs share a target with latency-critical
   /// ones, the most urgent first, then the furthest progressed.
   std::vector<RankedRun> RunsByUrgency(dispatch::TargetView& view) const;
-  void UpdateThrottling(base::TimePoint now, dispatch::TargetView& view);
+  /// True when rates are to be requested.
+  bool UpdateThrottling(base::TimePoint now, dispatch::TargetView& view);
   /// The target has confirmed the throttle rate of a run.
   void OnThrottled(base::TimePoint now, dispatch::RunView& run, std::int32_t rate_percent) const;
   void SendThrottleRequests(dispatch::TargetView& view);
@@ -199,6 +204,8 @@
   /// Runs that a target lists but the replicated state doesn't contain, with the time of the last
   /// stop request.
   std::map<std::pair<workload::TaskRef, std::uint32_t>, base::TimePoint> orphans;
+  /// Committed best-effort runs that their targets haven't confirmed.
+  std::set<std::pair<workload::TaskRef, std::uint32_t>> unconfirmed_starts;
   bool proposal_in_flight = false;
   /// Targets at which something may be due since the last Advance.
   std::set<std::string> changed_targets;
--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -1,6 +1,7 @@
 // Throttles best-effort tasks that slow latency-critical tasks on the same target, and migrates
 // runs.
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -22,6 +23,12 @@
 /// SLO utilization from which a latency-critical task beside best-effort tasks is polled more
 /// often.
 constexpr double kWatchedSloUtilization = 0.5;
+/// Targets measure over about this time, so responses that follow sooner, one for each run that
+/// ends, show the same measurement again.
+constexpr base::Duration kObservationInterval = std::chrono::milliseconds(500);
+/// A baseline that has moved by less since the last response changes no placement: the planner
+/// compares interference in steps of three times this.
+constexpr double kBaselineStep = 0.05;
 /// Rate of a task that isn't throttled, in percent.
 constexpr std::int32_t kFullRatePercent = 100;
 /// Progress from which a long-running task serves requests, in percent.
@@ -30,24 +37,22 @@
 }  // namespace
 
 std::vector<RunManager::RankedRun> RunManager::RunsByUrgency(TargetView& view) const {
-  const std::int64_t time_of_day_ms = this->context.TimeOfDayMs();
   std::vector<RankedRun> ranked;
   ranked.reserve(view.runs.size());
   bool has_best_effort = false;
   bool has_latency_critical = false;
   for (auto& [task, run] : view.runs) {
-    const workload::Job* job = this->state.FindJob(task.job);
-    if (job == nullptr || workload::IsFinal(job->state) || task.step >= job->spec.steps.size()) {
-      continue;
-    }
-    const workload::StepSpec& spec = job->spec.steps[task.step];
-    has_best_effort = has_best_effort || spec.best_effort;
-    has_latency_critical = has_latency_critical || spec.latency_slo_ms > 0;
-    ranked.push_back({&task, &run, &spec, {}});
-    ranked.back().urgency = dispatch::UrgencyOf(*job, task.step, time_of_day_ms);
+    if (run.job == nullptr || run.spec == nullptr || workload::IsFinal(run.job->state)) continue;
+    has_best_effort = has_best_effort || run.spec->best_effort;
+    has_latency_critical = has_latency_critical || run.spec->latency_slo_ms > 0;
+    ranked.push_back({&task, &run, run.spec, {}});
   }
   // The order only decides how best-effort runs share what latency-critical ones leave.
   if (!has_best_effort || !has_latency_critical) return ranked;
+  const std::int64_t time_of_day_ms = this->context.TimeOfDayMs();
+  for (RankedRun& entry : ranked) {
+    entry.urgency = dispatch::UrgencyOf(*entry.run->job, entry.task->step, time_of_day_ms);
+  }
   std::ranges::sort(ranked, [](const RankedRun& a, const RankedRun& b) {
     return std::tie(a.urgency, b.run->percent, *a.task) <
            std::tie(b.urgency, a.run->percent, *b.task);
@@ -57,9 +62,9 @@
 
 /// Updates the interference model from the response times of the latency-critical tasks, and sets
 /// the rates of the best-effort tasks on the same target.
-void RunManager::UpdateThrottling(base::TimePoint now, TargetView& view) {
+bool RunManager::UpdateThrottling(base::TimePoint now, TargetView& view) {
   const TargetRecord* record = this->RecordOf(view.incarnation);
-  if (record == nullptr || record->capacity.cpu <= 0) return;
+  if (record == nullptr || record->capacity.cpu <= 0) return false;
   const auto capacity = static_cast<double>(record->capacity.cpu);
   std::vector<dispatch::LatencyCriticalTask> latency_critical;
   std::vector<dispatch::BestEffortTask> best_effort;
@@ -86,29 +91,39 @@
       std::ranges::any_of(latency_critical, [](const dispatch::LatencyCriticalTask& task) {
         return task.slo_utilization >= kWatchedSloUtilization;
       });
-  for (const dispatch::LatencyCriticalTask& task : latency_critical) {
-    this->targets.Interference().Observe(task.image, shares, task.slo_utilization);
+  dispatch::InterferenceModel& model = this->targets.Interference();
+  if (!latency_critical.empty() && now - view.observed_at >= kObservationInterval) {
+    view.observed_at = now;
+    const auto inputs = model.InputsOf(shares);
+    for (const dispatch::LatencyCriticalTask& task : latency_critical) {
+      model.Observe(task.image, inputs, task.slo_utilization);
+    }
   }
-  dispatch::PlanThrottling(now, this->targets.Interference(), this->settings.throttler,
-                           latency_critical, best_effort);
+  dispatch::PlanThrottling(now, model, this->settings.throttler, latency_critical, best_effort);
+  bool has_moved = false;
   for (std::size_t i = 0; i < latency_critical.size(); ++i) {
-    latency_critical_runs[i]->baseline = latency_critical[i].baseline;
-    latency_critical_runs[i]->violating_since = latency_critical[i].violating_since;
+    RunView& run = *latency_critical_runs[i];
+    has_moved = has_moved || std::abs(latency_critical[i].baseline - run.baseline) >= kBaselineStep;
+    run.baseline = latency_critical[i].baseline;
+    run.violating_since = latency_critical[i].violating_since;
   }
-  if (!latency_critical.empty()) view.baseline_changes += 1;
+  if (has_moved) view.baseline_changes += 1;
   bool is_throttled = false;
+  bool has_new_rates = false;
   for (std::size_t i = 0; i < best_effort.size(); ++i) {
-    best_effort_runs[i]->wanted_rate_percent = best_effort[i].rate_percent;
+    RunView& run = *best_effort_runs[i];
+    run.wanted_rate_percent = best_effort[i].rate_percent;
+    has_new_rates = has_new_rates || run.wanted_rate_percent != run.rate_percent;
     is_throttled = is_throttled || best_effort[i].rate_percent < kFullRatePercent;
   }
   view.is_near_slo =
       !latency_critical.empty() && !best_effort.empty() && (is_near_slo || is_throttled);
+  return has_new_rates;
 }
 
 void RunManager::SendThrottleRequests(TargetView& view) {
   for (auto& [task, run] : view.runs) {
-    const workload::StepSpec* spec = this->state.SpecOf(task);
-    if (spec == nullptr || !spec->best_effort || run.is_throttle_in_flight) continue;
+    if (run.spec == nullptr || !run.spec->best_effort || run.is_throttle_in_flight) continue;
     if (run.start_request == StartRequestState::kConfirmed &&
         run.rate_percent != run.wanted_rate_percent) {
       this->SendThrottleRequest(view, task, run);
@@ -165,7 +180,7 @@
     if (view.unanswered_requests > 0) continue;
     for (auto& [task, run] : view.runs) {
       if (migrations >= this->settings.migration.max_per_round) return;
-      const workload::StepSpec* spec = this->state.SpecOf(task);
+      const workload::StepSpec* spec = run.spec;
       if (spec == nullptr || run.is_migrating) continue;
       const auto reason = dispatch::FindMigrationReason(now, this->settings.migration, *spec, run);
       if (!reason) continue;
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -25,6 +25,12 @@
 /// Upper limit of the factor by which the retry delay of polls grows while a target is silent.
 constexpr int kMaxBackoffFactor = 5;
 
+void NoteProgress(base::TimePoint now, RunView& run, const dispatch::RunningRow& row) {
+  if (row.percent > run.percent || run.progressed_at == base::TimePoint{}) run.progressed_at = now;
+  run.percent = row.percent;
+  run.usage = row.usage;
+}
+
 }  // namespace
 
 bool RunManager::NeedsPoll(base::TimePoint now, const TargetView& view,
@@ -129,6 +135,12 @@
 
 void RunManager::ApplyRunning(base::TimePoint now, TargetView& view,
                               const dispatch::RunningRow& row) {
+  const auto confirmed = view.runs.find(row.task);
+  if (confirmed != view.runs.end() && confirmed->second.run == row.run &&
+      confirmed->second.start_request == StartRequestState::kConfirmed) {
+    NoteProgress(now, confirmed->second, row);
+    return;
+  }
   const Task* task = this->state.FindTask(row.task);
   const bool is_known = task != nullptr && task->phase == TaskPhase::kRunning &&
                         task->run == row.run && task->target == view.incarnation;
@@ -140,15 +152,14 @@
     }
     return;
   }
-  RunView& run = view.runs[row.task];
+  RunView& run = this->AddRun(view, row.task);
   run.run = row.run;
   if (run.start_request != StartRequestState::kConfirmed) {
     run.start_request = StartRequestState::kConfirmed;
     run.confirmed_at = now;
+    this->unconfirmed_starts.erase({row.task, row.run});
   }
-  if (row.percent > run.percent || run.progressed_at == base::TimePoint{}) run.progressed_at = now;
-  run.percent = row.percent;
-  run.usage = row.usage;
+  NoteProgress(now, run, row);
 }
 
 void RunManager::ApplyLists(base::TimePoint now, TargetView& view, base::TimePoint sent_at,
@@ -167,7 +178,6 @@
     this->ApplyRunning(now, view, row);
   }
   dispatch::PollState& poll = view.poll;
-  view.has_pending_requests = true;
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const std::uint64_t acknowledged = record == nullptr ? 0 : record->acknowledged;
   for (const dispatch::EndRow& row : lists.ends) {
@@ -177,8 +187,10 @@
     this->ends.push_back(
         {row.task, row.run, view.incarnation, row.how, row.checkpoint, row.number});
   }
-  this->UpdateThrottling(now, view);
   const bool first_contact = !view.is_fenced;
+  // A list by itself only makes changes of rates due, and on first contact what was adopted.
+  const bool has_new_rates = this->UpdateThrottling(now, view);
+  view.has_pending_requests = view.has_pending_requests || has_new_rates || first_contact;
   view.is_fenced = true;
   if (lists.is_partial) return;
   const auto by_value = [](const TaskRef* ref) -> const TaskRef& { return *ref; };
--- a/src/libs/dispatch/interference_model.cc
+++ b/src/libs/dispatch/interference_model.cc
@@ -13,7 +13,9 @@
 
 }  // namespace
 
-std::size_t InterferenceModel::AssignImageIndex(const std::string& best_effort) {
+std::size_t InterferenceModel::AssignImageIndex(std::string_view best_effort) {
+  const auto known = this->image_index.find(best_effort);
+  if (known != this->image_index.end()) return known->second;
   // Index 0 is the baseline.
   return this->image_index.emplace(best_effort, this->image_index.size() + 1).first->second;
 }
@@ -32,17 +34,26 @@
   }
 }
 
-void InterferenceModel::Observe(const std::string& latency_critical,
-                                const std::vector<BestEffortShare>& neighbours,
+InterferenceModel::Inputs InterferenceModel::InputsOf(
+    const std::vector<BestEffortShare>& neighbours) {
+  Inputs inputs{{0, 1.0}};
+  inputs.reserve(neighbours.size() + 1);
+  for (const BestEffortShare& neighbour : neighbours) {
+    inputs.emplace_back(this->AssignImageIndex(neighbour.image), neighbour.share);
+  }
+  return inputs;
+}
+
+void InterferenceModel::Observe(std::string_view latency_critical, const Inputs& inputs,
                                 double slo_utilization) {
   if (!(slo_utilization > 0)) return;
   const double measured =
       std::clamp(std::log(slo_utilization), kMinLogUtilization, kMaxLogUtilization);
-  std::vector<std::pair<std::size_t, double>> inputs{{0, 1.0}};
-  for (const BestEffortShare& neighbour : neighbours) {
-    inputs.emplace_back(this->AssignImageIndex(neighbour.image), neighbour.share);
+  auto known = this->regressions.find(latency_critical);
+  if (known == this->regressions.end()) {
+    known = this->regressions.emplace(latency_critical, Regression()).first;
   }
-  Regression& regression = this->regressions[latency_critical];
+  Regression& regression = known->second;
   this->Extend(regression);
   const std::size_t size = regression.mean.size();
   std::vector<double> gain(size, 0);
@@ -70,19 +81,19 @@
   }
 }
 
-double InterferenceModel::Interference(const std::string& latency_critical,
-                                       const std::string& best_effort) const {
+double InterferenceModel::Interference(std::string_view latency_critical,
+                                       std::string_view best_effort) const {
   return this->InterferenceAt(this->FindRegression(latency_critical),
                               this->FindImageIndex(best_effort));
 }
 
 const InterferenceModel::Regression* InterferenceModel::FindRegression(
-    const std::string& latency_critical) const {
+    std::string_view latency_critical) const {
   const auto found = this->regressions.find(latency_critical);
   return found == this->regressions.end() ? nullptr : &found->second;
 }
 
-std::size_t InterferenceModel::FindImageIndex(const std::string& best_effort) const {
+std::size_t InterferenceModel::FindImageIndex(std::string_view best_effort) const {
   const auto index = this->image_index.find(best_effort);
   return index == this->image_index.end() ? 0 : index->second;
 }
--- a/src/libs/dispatch/interference_model.h
+++ b/src/libs/dispatch/interference_model.h
@@ -9,15 +9,18 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace mangoroad::dispatch {
 
 /// A best-effort task and the fraction of the target's processors that it uses.
 struct BestEffortShare {
-  std::string image;
+  std::string_view image;
   double share = 0;
 };
 
@@ -40,13 +43,16 @@
   explicit InterferenceModel(InterferenceModelSettings model_settings = {})
       : settings(model_settings) {}
 
+  /// The index of the coefficient of each neighbour and its share. Index 0 is the baseline.
+  using Inputs = std::vector<std::pair<std::size_t, double>>;
+  /// The neighbours on one target, looked up once for all latency-critical tasks there.
+  [[nodiscard]] Inputs InputsOf(const std::vector<BestEffortShare>& neighbours);
   /// Records the SLO utilization (1: exactly at the SLO) of a latency-critical task beside these
   /// neighbours. Values that aren't above 0 are ignored.
-  void Observe(const std::string& latency_critical, const std::vector<BestEffortShare>& neighbours,
-               double slo_utilization);
+  void Observe(std::string_view latency_critical, const Inputs& inputs, double slo_utilization);
   /// Expected increase of the logarithm of the SLO utilization by a neighbour with a share of 1.
-  [[nodiscard]] double Interference(const std::string& latency_critical,
-                                    const std::string& best_effort) const;
+  [[nodiscard]] double Interference(std::string_view latency_critical,
+                                    std::string_view best_effort) const;
 
   /// Coefficients of one latency-critical image: the baseline, then one for each best-effort image.
   struct Regression {
@@ -55,17 +61,17 @@
   };
   /// For many look-ups between two observations: the regression of a latency-critical image, or
   /// null, and the index of a best-effort image, or 0.
-  [[nodiscard]] const Regression* FindRegression(const std::string& latency_critical) const;
-  [[nodiscard]] std::size_t FindImageIndex(const std::string& best_effort) const;
+  [[nodiscard]] const Regression* FindRegression(std::string_view latency_critical) const;
+  [[nodiscard]] std::size_t FindImageIndex(std::string_view best_effort) const;
   [[nodiscard]] double InterferenceAt(const Regression* regression, std::size_t index) const;
 
  private:
-  std::size_t AssignImageIndex(const std::string& best_effort);
+  std::size_t AssignImageIndex(std::string_view best_effort);
   void Extend(Regression& regression) const;
 
   InterferenceModelSettings settings;
-  std::map<std::string, std::size_t> image_index;
-  std::map<std::string, Regression> regressions;
+  std::map<std::string, std::size_t, std::less<>> image_index;
+  std::map<std::string, Regression, std::less<>> regressions;
 };
 
 }  // namespace mangoroad::dispatch
--- a/src/libs/dispatch/throttler.h
+++ b/src/libs/dispatch/throttler.h
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -39,7 +39,7 @@
 };
 
 struct LatencyCriticalTask {
-  std::string image;
+  std::string_view image;
   double slo_utilization = 0;  ///< as measured
   /// Smoothed logarithm of the SLO utilization without neighbours; kept by the caller between
   /// rounds.
@@ -52,7 +52,7 @@
 };
 
 struct BestEffortTask {
-  std::string image;
+  std::string_view image;
   double full_rate_share = 0;       ///< of the target's processors, at the full rate
   double used_share = 0;            ///< as measured last
   std::int32_t rate_percent = 100;  ///< the rate to request, set by PlanThrottling
--- a/tests/auto/dispatch/tst_interference_model.cc
+++ b/tests/auto/dispatch/tst_interference_model.cc
@@ -27,7 +27,7 @@
       neighbours.push_back({image, share});
       log_utilization += interference * share;
     }
-    model.Observe("serving", neighbours, std::exp(log_utilization));
+    model.Observe("serving", model.InputsOf(neighbours), std::exp(log_utilization));
   }
 }
 
@@ -49,9 +49,9 @@
   const InterferenceModelSettings settings;
   InterferenceModel model;
   CHECK(model.Interference("serving", "heavy") == settings.interference_mean);
-  model.Observe("serving", {{"heavy", 0.1}}, 0);
-  model.Observe("serving", {{"heavy", 0.1}}, -4);
-  model.Observe("serving", {{"heavy", 0.1}}, std::nan(""));
+  model.Observe("serving", model.InputsOf({{"heavy", 0.1}}), 0);
+  model.Observe("serving", model.InputsOf({{"heavy", 0.1}}), -4);
+  model.Observe("serving", model.InputsOf({{"heavy", 0.1}}), std::nan(""));
   CHECK(model.Interference("serving", "heavy") == settings.interference_mean);
   CHECK(model.Interference("other", "heavy") == settings.interference_mean);
 }
--- a/tests/auto/dispatch/tst_throttler.cc
+++ b/tests/auto/dispatch/tst_throttler.cc
@@ -21,7 +21,7 @@
     std::vector<BestEffortShare> neighbours;
     if (heavy) neighbours.push_back({"heavy", 0.1});
     if (light) neighbours.push_back({"light", 0.1});
-    model.Observe("serving", neighbours, std::exp(heavy ? -0.3 : -0.8));
+    model.Observe("serving", model.InputsOf(neighbours), std::exp(heavy ? -0.3 : -0.8));
   }
   return model;
 }
