Allow 800 best-effort starts on their way, and test the wait of a new leader

Result: tst_controller, tst_dispatch pass. Conclusion: the bound is for a leader that is behind, not for one that isn't.

--- a/src/libs/controller/call_delegator.cc
+++ b/src/libs/controller/call_delegator.cc
@@ -118,20 +118,19 @@
   return numbers;
 }
 
-std::optional<CallDelegator::PendingCall> CallDelegator::TakePending(std::uint64_t number) {
-  const auto found = this->pending.find(number);
-  if (found == this->pending.end()) return std::nullopt;
+CallDelegator::PendingCall CallDelegator::TakePending(CallsByNumber::iterator found) {
   PendingCall call = std::move(found->second);
+  if (call.expires) this->expiries.erase({*call.expires, found->first});
   this->pending.erase(found);
-  if (call.expires) this->expiries.erase({*call.expires, number});
   return call;
 }
 
 void CallDelegator::GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers) {
   for (const std::uint64_t number : numbers) {
-    const auto call = this->TakePending(number);
-    if (!call) continue;
-    Respond(now, call->done, call->expires ? CallStatus::kDelegateLost : CallStatus::kNotCarried);
+    const auto found = this->pending.find(number);
+    if (found == this->pending.end()) continue;
+    const PendingCall call = this->TakePending(found);
+    Respond(now, call.done, call.expires ? CallStatus::kDelegateLost : CallStatus::kNotCarried);
   }
 }
 
@@ -177,14 +176,14 @@
   for (const DelegatedResult& result : batch.results) {
     const auto found = this->pending.find(result.number);
     if (found == this->pending.end() || found->second.delegate != delegate) continue;
-    const auto call = this->TakePending(result.number);
+    const PendingCall call = this->TakePending(found);
     refused = refused || result.status == CallStatus::kNotCarried;
-    if (const auto* on_response = std::get_if<OnResponse>(&call->done)) {
+    if (const auto* on_response = std::get_if<OnResponse>(&call.done)) {
       (*on_response)(now, {result.status, result.clock});
     } else if (result.status == CallStatus::kDone && !result.lists) {
-      Respond(now, call->done, CallStatus::kInvalid);
+      Respond(now, call.done, CallStatus::kInvalid);
     } else {
-      std::get<OnPollResponse>(call->done)(
+      std::get<OnPollResponse>(call.done)(
           now, {result.status, result.lists.value_or(dispatch::TargetLists{})});
     }
   }
@@ -222,8 +221,9 @@
       unsent.push_back(call.number);
       continue;
     }
-    found->second.expires = now + found->second.timeout;
-    this->expiries.emplace(*found->second.expires, call.number);
+    const base::TimePoint expires = now + found->second.timeout;
+    found->second.expires = expires;
+    this->expiries.emplace(expires, call.number);
   }
   this->GiveUp(now, unsent);
   return is_sent;
--- a/src/libs/controller/call_delegator.h
+++ b/src/libs/controller/call_delegator.h
@@ -106,6 +106,7 @@
     /// Set when the call is sent.
     std::optional<base::TimePoint> expires;
   };
+  using CallsByNumber = std::map<std::uint64_t, PendingCall>;
   struct Delegate {
     std::string failure_domain;
     std::uint64_t incarnation = 0;
@@ -127,7 +128,7 @@
   /// Ends the calls: those that were sent as possibly executed, the others as not carried.
   void GiveUp(base::TimePoint now, const std::vector<std::uint64_t>& numbers);
   /// Removes a call that got its result or is given up.
-  std::optional<PendingCall> TakePending(std::uint64_t number);
+  PendingCall TakePending(CallsByNumber::iterator found);
   [[nodiscard]] CallBatch MakeBatch(base::TimePoint now, const Delegate& delegate) const;
   /// Sends the next calls and verdicts; false when there are none, or they are certainly not sent.
   bool SendBatch(base::TimePoint now, const std::string& name, Delegate& delegate);
@@ -147,7 +148,7 @@
   /// Delegates in use, in the order of their addresses.
   std::vector<DelegateAddress> usable;
   std::unordered_map<std::string, std::string> delegate_of_target;
-  std::map<std::uint64_t, PendingCall> pending;
+  CallsByNumber pending;
   std::set<std::pair<base::TimePoint, std::uint64_t>> expiries;
 };
 
--- a/src/libs/dispatch/planner.h
+++ b/src/libs/dispatch/planner.h
@@ -41,9 +41,9 @@
   std::size_t max_starts = 400;
   /// Best-effort starts that may be on their way to targets at once; more aren't planned. A leader
   /// that is behind would otherwise put urgent starts, and the ends of all runs, behind thousands
-  /// of them, and hold capacity for starts that come too late. At 100 ms from the plan to the
-  /// confirmation this is 4,000 starts a second.
-  std::size_t max_unconfirmed_best_effort = 400;
+  /// of them, and hold capacity for starts that come too late. At 130 ms from one plan to the next
+  /// after the confirmations this is 6,000 starts a second.
+  std::size_t max_unconfirmed_best_effort = 800;
   /// Targets that are reserved at once while long-running tasks find no capacity.
   std::size_t max_reserved_targets = 1;
   /// A best-effort task isn't started where its expected rate is below this (1: full rate): on
--- a/tests/auto/controller/tst_call_delegator.cc
+++ b/tests/auto/controller/tst_call_delegator.cc
@@ -8,6 +8,7 @@
 
 #include "controller/delegation.h"
 #include "net/event_loop.h"
+#include "support/required.h"
 
 namespace mangoroad::controller {
 namespace {
@@ -75,6 +76,7 @@
   /// The job of each start that was sent, in order.
   std::vector<std::string> SentJobs() const {
     std::vector<std::string> jobs;
+    jobs.reserve(this->link.calls.size());
     for (const DelegatedCall& call : this->link.calls) {
       jobs.push_back(std::get<StartRequest>(call.request).task.job);
     }
@@ -168,6 +170,25 @@
   CHECK(handled > kMessages / 4);
 }
 
+// Guards against a new leader that polls a large fleet by itself in the moment before it hears of
+// its delegates, and has no time for anything else meanwhile.
+TEST_CASE("a new leader waits a moment for its delegates") {
+  LeaderFixture leader;
+  CHECK_FALSE(leader.delegator.IsReady(At(1'149)));
+  CHECK(leader.delegator.IsReady(At(1'150)));
+  NoCalls direct;
+  SentCalls link;
+  CallDelegator alone(direct, link, ManyTargets());
+  alone.BeginTerm(At(1'000), kFence);
+  CHECK_FALSE(alone.IsReady(At(1'399)));
+  CHECK(alone.IsReady(At(1'400)));
+  ReportHandlers few = ManyTargets();
+  few.target_count = [] { return std::size_t{50}; };
+  CallDelegator small(direct, link, few);
+  small.BeginTerm(At(1'000), kFence);
+  CHECK(small.IsReady(At(1'000)));
+}
+
 // Guards against a message whose size grows with the number of tasks of a step times the payload.
 TEST_CASE("the tasks of a step share their payload in a message") {
   CallBatch batch;
@@ -180,12 +201,11 @@
   }
   const std::string bytes = EncodeCallBatch(batch);
   CHECK(bytes.size() < 40'000);
-  const auto decoded = DecodeCallBatch(bytes);
-  REQUIRE(decoded.has_value());
-  REQUIRE(decoded->calls.size() == batch.calls.size());
+  const CallBatch decoded = support::Required(DecodeCallBatch(bytes));
+  REQUIRE(decoded.calls.size() == batch.calls.size());
   for (std::size_t i = 0; i < batch.calls.size(); ++i) {
     const auto* sent = std::get_if<StartRequest>(&batch.calls[i].request);
-    const auto* received = std::get_if<StartRequest>(&decoded->calls[i].request);
+    const auto* received = std::get_if<StartRequest>(&decoded.calls[i].request);
     REQUIRE((sent == nullptr) == (received == nullptr));
     if (sent != nullptr) CHECK(received->payload == sent->payload);
   }
