Don't send what was decided before a suspension, and end gangs by their targets

Cause: heartbeats are now handled first, so a leader that was suspended between deciding on a call and sending it would hear of its delegates and send the call with a fresh permission, while another replica may lead; the fence alone stopped it. The end of a gang's member searched all targets for the other members, and runs of targets that have left kept pointers to jobs that may be removed. Members are found by their targets; targets without a record send nothing and migrate nothing. Result: tst_call_delegator "calls that waited while the process was suspended aren't sent", both orders of timer and flush.

--- a/src/libs/controller/call_delegate.cc
+++ b/src/libs/controller/call_delegate.cc
@@ -50,12 +50,12 @@
   }
   const base::TimePoint sent_after{base::Duration(batch.delegate_clock_us)};
   if (now - sent_after > kMaxPermissionAge) return this->Refuse(batch, "too old");
-  // Heartbeats overtake batches that wait for their turn.
   if (this->leader_clock_us == 0) {
     // The leader uses this delegate once its clock has come back.
     this->last_heartbeat = {};
     this->link.RequestFlush();
   }
+  // Heartbeats overtake batches that wait for their turn.
   if (batch.leader_clock_us >= this->leader_clock_us) {
     this->leader_seen_after = sent_after;
     this->leader_clock_us = batch.leader_clock_us;
--- a/src/libs/controller/call_delegator.cc
+++ b/src/libs/controller/call_delegator.cc
@@ -38,6 +38,7 @@
   this->leading = true;
   this->fence = new_fence;
   this->term_start = now;
+  this->last_tick = now;
   this->UpdateUsable(now);
 }
 
@@ -229,8 +230,19 @@
   return is_sent;
 }
 
+void CallDelegator::GiveUpUnsent(base::TimePoint now) {
+  std::vector<std::uint64_t> numbers;
+  for (auto& [name, delegate] : this->delegates) {
+    for (const DelegatedCall& call : delegate.calls) numbers.push_back(call.number);
+    delegate.calls.clear();
+  }
+  this->GiveUp(now, numbers);
+}
+
 void CallDelegator::Flush(base::TimePoint now) {
   if (!this->leading) return;
+  // After a suspension of the process another replica may lead.
+  if (now - this->last_tick > this->settings.max_silence) this->GiveUpUnsent(now);
   // Responses to calls that can't be sent may lead to further ones, which the next flush sends.
   for (auto& [name, delegate] : this->delegates) {
     const bool is_silent = now - delegate.last_heard > this->settings.max_silence;
@@ -266,6 +278,8 @@
 
 void CallDelegator::Tick(base::TimePoint now) {
   if (!this->leading) return;
+  if (now - this->last_tick > this->settings.max_silence) this->GiveUpUnsent(now);
+  this->last_tick = now;
   this->UpdateUsable(now);
   std::vector<std::uint64_t> overdue;
   for (const auto& [expires, number] : this->expiries) {
--- a/src/libs/controller/call_delegator.h
+++ b/src/libs/controller/call_delegator.h
@@ -130,6 +130,8 @@
   /// Removes a call that got its result or is given up.
   PendingCall TakePending(CallsByNumber::iterator found);
   [[nodiscard]] CallBatch MakeBatch(base::TimePoint now, const Delegate& delegate) const;
+  /// Gives up the calls that haven't been sent; the leader decides anew whether it may send them.
+  void GiveUpUnsent(base::TimePoint now);
   /// Sends the next calls and verdicts; false when there are none, or they are certainly not sent.
   bool SendBatch(base::TimePoint now, const std::string& name, Delegate& delegate);
   [[nodiscard]] std::vector<std::uint64_t> CallsOf(const std::string& delegate) const;
@@ -143,6 +145,7 @@
   bool leading = false;
   Fence fence = 0;
   base::TimePoint term_start;
+  base::TimePoint last_tick;
   std::uint64_t last_number = 0;
   std::map<std::string, Delegate> delegates;
   /// Delegates in use, in the order of their addresses.
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -93,9 +93,11 @@
 void RunManager::RemoveGang(const TaskRef& member) {
   const workload::StepSpec* spec = this->state.SpecOf(member);
   if (spec == nullptr || !spec->gang) return;
-  TaskRef task = member;
-  for (task.index = 0; task.index < spec->count; ++task.index) {
-    for (auto& [id, view] : this->targets.All()) view.runs.erase(task);
+  TaskRef ref = member;
+  for (ref.index = 0; ref.index < spec->count; ++ref.index) {
+    const Task* task = this->state.FindTask(ref);
+    TargetView* view = task == nullptr ? nullptr : this->targets.Find(task->target.id);
+    if (view != nullptr && view->incarnation == task->target) view->runs.erase(ref);
   }
 }
 
@@ -114,6 +116,8 @@
 void RunManager::SendDueRequests(base::TimePoint now, TargetView& view) {
   this->target_checks += 1;
   if (!view.is_fenced || !view.has_pending_requests) return;
+  // The runs of a target that has left may outlive their jobs.
+  if (this->RecordOf(view.incarnation) == nullptr) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kRequests);
   view.has_pending_requests = this->SendRequestsTo(now, view);
 }
--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -177,7 +177,7 @@
   std::size_t migrations = 0;
   bool has_begun = false;
   for (auto& [id, view] : this->targets.All()) {
-    if (view.unanswered_requests > 0) continue;
+    if (view.unanswered_requests > 0 || this->RecordOf(view.incarnation) == nullptr) continue;
     for (auto& [task, run] : view.runs) {
       if (migrations >= this->settings.migration.max_per_round) return;
       const workload::StepSpec* spec = run.spec;
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -61,8 +61,9 @@
 /// A run that the workload state has assigned to a target.
 struct RunView {
   std::uint32_t run = 0;
-  /// The job and the step, so that they needn't be looked up for each run on each response. The
-  /// state keeps a job for minutes after its last run has ended; a view ends with its run.
+  /// The job and the step, so that they needn't be looked up for each run on each response. Valid
+  /// while the target is registered: the state keeps a job for minutes after its last run has
+  /// ended, and a view ends with its run.
   const workload::Job* job = nullptr;
   const workload::StepSpec* spec = nullptr;
   StartRequestState start_request = StartRequestState::kToSend;
--- a/tests/auto/controller/tst_call_delegator.cc
+++ b/tests/auto/controller/tst_call_delegator.cc
@@ -104,6 +104,7 @@
   CHECK(leader.statuses["waiting"] == CallStatus::kNotCarried);
   CHECK(leader.delegator.PendingCalls() == 0);
   leader.HearOf(2, 2'200);
+  leader.delegator.Tick(At(2'200));
   leader.Start("next");
   leader.delegator.Flush(At(2'201));
   CHECK(leader.SentJobs().back() == "next");
@@ -189,6 +190,23 @@
   CHECK(small.IsReady(At(1'000)));
 }
 
+// Guards against a leader that was suspended and sends what it decided before: another replica may
+// lead meanwhile.
+TEST_CASE("calls that waited while the process was suspended aren't sent") {
+  LeaderFixture leader;
+  leader.delegator.Tick(At(1'050));
+  leader.Start("before");
+  leader.HearOf(1, 4'000);
+  SECTION("the flush comes first") { leader.delegator.Flush(At(4'000)); }
+  SECTION("the timer comes first") { leader.delegator.Tick(At(4'000)); }
+  CHECK(leader.link.calls.empty());
+  CHECK(leader.statuses["before"] == CallStatus::kNotCarried);
+  leader.delegator.Tick(At(4'050));
+  leader.Start("after");
+  leader.delegator.Flush(At(4'051));
+  CHECK(leader.SentJobs() == std::vector<std::string>{"after"});
+}
+
 // Guards against a message whose size grows with the number of tasks of a step times the payload.
 TEST_CASE("the tasks of a step share their payload in a message") {
   CallBatch batch;
