Score all targets where the place of the data or a label matters

Cause: of a large fleet only the emptiest targets were scored for a step at first; with a data rack or a label the suitable ones may not be among them, and tasks would run far from their data. Change: such steps score all targets that have room, as before. Result: tst_planner "a suitable target is found among hundreds with more room": its section on data fails without the condition (the task goes to r2), the one on labels passes by the second scoring; "a wide step uses all targets of a large fleet".

--- a/src/libs/dispatch/planner.cc
+++ b/src/libs/dispatch/planner.cc
@@ -442,10 +442,14 @@
     for (std::size_t i = 0; i < this->planner.capacities.size(); ++i) {
       if (this->planner.MayFit(i, this->request, since_round)) this->unscored.push_back(i);
     }
-    // Except for latency-critical tasks, the targets with the most unused processors are the best
-    // or nearly so; the others are scored when these don't suffice.
+    // Where neither neighbours, nor the place of the data, nor labels matter, the targets with the
+    // most unused processors are the best or nearly so; the others are scored when these don't
+    // suffice.
+    const StepSpec& spec = this->request.spec;
+    const bool suits_any =
+        spec.latency_slo_ms <= 0 && spec.data_rack.empty() && spec.required_label.empty();
     const std::size_t scored = kMinCandidates + kCandidatesPerTask * tasks;
-    if (this->request.spec.latency_slo_ms > 0 || this->unscored.size() <= scored) {
+    if (!suits_any || this->unscored.size() <= scored) {
       this->AddUnscored(this->unscored.begin());
       return;
     }
--- a/tests/auto/dispatch/tst_planner.cc
+++ b/tests/auto/dispatch/tst_planner.cc
@@ -187,21 +187,35 @@
   CHECK(Fleet::CountOf(urgent, "filling") == 0);
 }
 
-// Guards against a step that finds no target because only the emptiest ones were scored.
-TEST_CASE("a step finds the only suitable target among many with more room") {
+// Guards against tasks far from their data, or without the target that suits them, because only the
+// emptiest targets of a large fleet were scored.
+TEST_CASE("a suitable target is found among hundreds with more room") {
   Fleet fleet(300);
-  StepSpec step = Plain(1, 1'000);
-  step.required_label = "r77";
-  fleet.Submit("labelled", 0, step);
-  fleet.Submit("first", 0, Plain(1, 9'000));
+  fleet.Submit("busy", 0, Plain(2, 9'000));
   workload::RunChanges changes;
-  changes.starts = {{{"first", 0, 0, 0}, 1, {"t154", 1}}};
+  changes.starts = {{{"busy", 0, 0, 0}, 1, {"t154", 1}}, {{"busy", 0, 0, 1}, 1, {"t155", 1}}};
   fleet.state.Apply(changes);
+  StepSpec step = Plain(1, 1'000);
+  SECTION("near its data") { step.data_rack = "r77"; }
+  SECTION("with its label") { step.required_label = "r77"; }
+  fleet.Submit("job", 0, step);
   const auto starts = fleet.Round();
   REQUIRE(starts.size() == 1);
   CHECK(fleet.state.Targets().at(starts.front().target.id).rack == "r77");
 }
 
+// Guards against a step that waits although a target has room, because the emptiest ones that were
+// scored first are full.
+TEST_CASE("a wide step uses all targets of a large fleet") {
+  Fleet fleet(300);
+  StepSpec step = Plain(300, 1'000);
+  step.max_per_target = 1;
+  fleet.Submit("wide", 0, step);
+  fleet.Submit("wider", 0, Plain(1'000, 9'000));
+  CHECK(Fleet::CountOf(fleet.Round(), "wide") == 300);
+  CHECK(fleet.Round().size() == 200);
+}
+
 /// Changes a fleet at random: jobs, ends, drains, and targets that are avoided for a while.
 void ChangeAtRandom(Fleet& fleet, base::Random& random, std::vector<Start>& running) {
   fleet.now_ms += 20;
