--- a/tests/auto/controller/fake_delegates.h
+++ b/tests/auto/controller/fake_delegates.h
@@ -1,6 +1,7 @@
 // Core VMs that send a leader's requests to targets, over links with delays and faults.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/random.h"
 #include "controller/call_delegate.h"
 #include "controller/call_delegator.h"
 #include "run_simulation.h"
@@ -52,6 +54,11 @@
     this->vms.at(name).cut_from_leader = from_leader;
     this->vms.at(name).cut_to_leader = to_leader;
   }
+  /// Batches wait for up to this long before they are handled, in order; heartbeats overtake them.
+  void SetQueueing(std::int64_t ms, std::uint64_t seed) {
+    this->max_queueing_ms = ms;
+    this->random = base::Random(seed);
+  }
   [[nodiscard]] CallDelegator& Delegator() {
     return *this->leaders.at(this->simulation.log.term)->delegator;
   }
@@ -78,7 +85,8 @@
                                                         std::move(handlers));
     }
     bool SendCalls(const std::string& to, const CallBatch& batch) override {
-      this->owner.DeliverCalls(this->term, to, EncodeCallBatch(batch));
+      const std::int64_t delay = this->owner.DelayOf(NameOf(this->term) + to, batch.IsHeartbeat());
+      this->owner.DeliverCalls(this->term, to, EncodeCallBatch(batch), delay);
       return true;
     }
     bool SendResults(const std::string&, const ResultBatch&) override { return false; }
@@ -100,7 +108,8 @@
     bool SendCalls(const std::string&, const CallBatch&) override { return false; }
     bool SendResults(const std::string& to, const ResultBatch& batch) override {
       if (this->is_down) return false;
-      this->owner.DeliverResults(this->name, to, EncodeResultBatch(batch));
+      const std::int64_t delay = this->owner.DelayOf(this->name + to, batch.IsHeartbeat());
+      this->owner.DeliverResults(this->name, to, EncodeResultBatch(batch), delay);
       return true;
     }
     void RequestFlush() override {
@@ -140,8 +149,18 @@
     vm.waiting.clear();
   }
 
-  void DeliverCalls(std::uint64_t term, const std::string& to, const std::string& bytes) {
-    this->simulation.time.After(kOneWayMs, [this, term, to, bytes] {
+  std::int64_t DelayOf(const std::string& link, bool is_heartbeat) {
+    if (is_heartbeat || this->max_queueing_ms == 0) return kOneWayMs;
+    const std::int64_t now = this->simulation.time.NowMs();
+    std::int64_t& handled_at = this->last_handled[link];
+    const std::int64_t wait = this->random.Below(static_cast<std::uint32_t>(this->max_queueing_ms));
+    handled_at = std::max(handled_at, now + kOneWayMs + wait);
+    return handled_at - now;
+  }
+
+  void DeliverCalls(std::uint64_t term, const std::string& to, const std::string& bytes,
+                    std::int64_t delay) {
+    this->simulation.time.After(delay, [this, term, to, bytes] {
       if (this->vms.at(to).cut_from_leader) return;
       const auto deliver = [this, term, to, bytes] {
         Vm& vm = this->vms.at(to);
@@ -158,8 +177,9 @@
     });
   }
 
-  void DeliverResults(const std::string& from, const std::string& to, const std::string& bytes) {
-    this->simulation.time.After(kOneWayMs, [this, from, to, bytes] {
+  void DeliverResults(const std::string& from, const std::string& to, const std::string& bytes,
+                      std::int64_t delay) {
+    this->simulation.time.After(delay, [this, from, to, bytes] {
       if (this->vms.at(from).cut_to_leader) return;
       for (auto& [term, leader] : this->leaders) {
         if (NameOf(term) != to) continue;
@@ -189,6 +209,10 @@
   std::map<std::string, Vm> vms;
   std::vector<std::pair<std::unique_ptr<Link>, std::unique_ptr<CallDelegate>>> ended;
   std::uint64_t last_incarnation = 0;
+  std::int64_t max_queueing_ms = 0;
+  base::Random random{1};
+  /// When the latest batch of a link is handled, in ms.
+  std::map<std::string, std::int64_t> last_handled;
 };
 
 }  // namespace mangoroad::controller
--- a/tests/auto/controller/tst_delegation.cc
+++ b/tests/auto/controller/tst_delegation.cc
@@ -272,5 +272,19 @@
   }
 }
 
+// Guards against batches that heartbeats of a newer process, leader or permission have overtaken:
+// their calls and results must not make a task run twice, or lose it.
+TEST_CASE("no task runs twice while batches wait behind heartbeats") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    Simulation simulation(seed, 6, {}, WithDelegates(3));
+    DelegatesOf(simulation).SetQueueing(seed % 2 == 0 ? 300 : 1'400, seed);
+    simulation.time.After(32'000, [&] { DelegatesOf(simulation).SetQueueing(0, seed); });
+    InjectFaults(simulation, seed);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+  }
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
