--- a/src/libs/controller/run_logging.cc
+++ b/src/libs/controller/run_logging.cc
@@ -35,10 +35,10 @@
   if (found == nullptr) return;
   for (std::uint32_t step = 0; step < found->spec.steps.size(); ++step) {
     const workload::StepRef ref{job, occurrence, step};
-    const workload::Step* state_of_step = this->state.FindStep(ref);
-    const bool has_started =
-        state_of_step == nullptr || state_of_step->waiting != state_of_step->tasks.size();
-    if (!has_started && this->state.Ready().contains(ref)) this->statistics.OnReady(now, ref);
+    const workload::Step* progress = this->state.FindStep(ref);
+    // A step that has become ready again, after a failed run, isn't counted.
+    if (progress == nullptr || progress->waiting != progress->tasks.size()) continue;
+    if (this->state.Ready().contains(ref)) this->statistics.OnReady(now, ref);
   }
 }
 
--- a/src/libs/dispatch/planner.h
+++ b/src/libs/dispatch/planner.h
@@ -134,7 +134,7 @@
     /// This round has allocated resources here, which the state doesn't contain yet.
     bool has_planned_tasks = false;
     bool is_usable = false;
-    /// The last round before which more may have become available here.
+    /// The latest round since which more may be available here than in the round before.
     std::uint64_t changed_round = 0;
     /// Position in `capacities` and `upper_bounds`, where usable.
     std::size_t position = 0;
