--- a/review/lab/deployment.cc
+++ b/review/lab/deployment.cc
@@ -213,6 +213,18 @@
   this->record.Write("platform: " + machine.name + " is killed");
 }
 
+bool Deployment::HasEnded(Machine& machine) {
+  int status = 0;
+  if (machine.process <= 0 || waitpid(machine.process, &status, WNOHANG) != machine.process) {
+    return false;
+  }
+  machine.process = -1;
+  this->record.Write("platform: the process of " + machine.name + " ended by itself, " +
+                     (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                          : "exit status " + std::to_string(WEXITSTATUS(status))));
+  return true;
+}
+
 Machine* Deployment::Leader() {
   // A replica that doesn't lead passes a GET on and logs that; what each one logs of its own
   // leadership is the only other way to tell.
--- a/review/lab/deployment.h
+++ b/review/lab/deployment.h
@@ -35,6 +35,8 @@
   void Signal(const Machine& machine, int number);
   /// SIGKILL, and waits for the end.
   void Kill(Machine& machine);
+  /// A process of this machine ended by itself since the last call.
+  bool HasEnded(Machine& machine);
   /// The machine of the core that answers a GET of the configuration itself.
   Machine* Leader();
   [[nodiscard]] Address Control(const Machine& machine) const { return {machine.ip, this->control}; }
