Review: a cut worker with a member of a scheduled gang ends the leader's process

Cause: RemoveGang finds no members once their occurrence is erased; SendStart then follows a null pointer. The stand-in worker knows gangs and cuts.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -22,8 +22,7 @@
 std::string Job(int count, int work_ms) {
   return nlohmann::json{
       {"spec", "ms=" + std::to_string(work_ms)},
-      {"steps",
-       {{{"count", count}, {"cpu", kTaskCpu}, {"mem-mb", 256}, {"est-ms", work_ms}}}}}
+      {"steps", {{{"count", count}, {"cpu", kTaskCpu}, {"mem-mb", 256}, {"est-ms", work_ms}}}}}
       .dump();
 }
 
@@ -50,8 +49,8 @@
   for (int zone = 0; zone < 3; ++zone) {
     for (int i = 0; i < kWorkersPerZone; ++i) {
       lab::WorkerSettings settings;
-      settings.id = (workers.empty() ? "i-0-" : "i-1-") + lab::Deployment::ZoneName(zone) +
-                    std::to_string(i);
+      settings.id =
+          (workers.empty() ? "i-0-" : "i-1-") + lab::Deployment::ZoneName(zone) + std::to_string(i);
       settings.service = lab::kService;
       settings.zone = lab::Deployment::ZoneName(zone);
       settings.rack = "r" + std::to_string(zone) + "-1";
@@ -85,8 +84,7 @@
   lab::Sleep(3'000);
 
   lab::Worker& victim = *workers.front();
-  if (!lab::Submit(record, deployment, "00000000000000a2", Job(kShortTasks, kShortWorkMs),
-                   3'000)) {
+  if (!lab::Submit(record, deployment, "00000000000000a2", Job(kShortTasks, kShortWorkMs), 3'000)) {
     return lab::kCouldNotRun;
   }
   lab::Sleep(200);
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -43,7 +43,8 @@
   for (int sequence = 1; sequence <= kForeignHeartbeats; ++sequence) {
     const std::string body = ForeignHeartbeat(worker, sequence, born);
     for (const lab::Address& node : control) {
-      const int status = lab::Send(node, {"PUT", "/api/instances/i-foreign", {}, body}, 1'000).status;
+      const int status =
+          lab::Send(node, {"PUT", "/api/instances/i-foreign", {}, body}, 1'000).status;
       record.Write("other writer: heartbeat " + std::to_string(sequence) +
                    " of i-foreign, service not-named-here, addr of " + worker.Settings().id +
                    ", to " + ToText(node) + ": " + std::to_string(status));
@@ -83,9 +84,9 @@
   if (!lab::WaitUntil(all_announced, 10'000)) return lab::kCouldNotRun;
   lab::Sleep(500);
   const std::string id = "00000000000000a1";
-  const json job{{"spec", "ms=" + std::to_string(kWorkMs)},
-                 {"steps",
-                  {{{"count", kTasks}, {"cpu", kTaskCpu}, {"mem-mb", 256}, {"est-ms", kWorkMs}}}}};
+  const json job{
+      {"spec", "ms=" + std::to_string(kWorkMs)},
+      {"steps", {{{"count", kTasks}, {"cpu", kTaskCpu}, {"mem-mb", 256}, {"est-ms", kWorkMs}}}}};
   if (!lab::Submit(record, deployment, id, job.dump(), 10'000)) return lab::kCouldNotRun;
   lab::Sleep(1'000);
   if (lab::HasTrouble()) SendForeignHeartbeats(record, control, *workers.front());
--- a/review/lab/check.cc
+++ b/review/lab/check.cc
@@ -15,41 +15,42 @@
 }
 
 std::string Configuration(int version) {
-  const json body{
-      {"version", version},
-      {"routes",
-       {{{"name", "r-review"},
-         {"host", kHost},
-         {"prefix", kPrefix},
-         {"type", "non_idempotent"},
-         {"timeout-ms", 3000},
-         {"slo-ms", 1000},
-         {"prio", 0},
-         {"service", kService},
-         {"attempts", 4},
-         {"stretch", 2.0}}}},
-      {"services",
-       {{{"name", kService},
-         {"health-path", "/healthz"},
-         {"max-conns", 64},
-         {"protocol", "h1"},
-         {"tls", false},
-         {"strict-admission", true},
-         {"standby", false}}}},
-      {"limits",
-       {{"max-header-bytes", 16384},
-        {"max-body-bytes", 262144},
-        {"header-timeout-ms", 3000},
-        {"idle-timeout-ms", 15000}}}};
+  const json body{{"version", version},
+                  {"routes",
+                   {{{"name", "r-review"},
+                     {"host", kHost},
+                     {"prefix", kPrefix},
+                     {"type", "non_idempotent"},
+                     {"timeout-ms", 3000},
+                     {"slo-ms", 1000},
+                     {"prio", 0},
+                     {"service", kService},
+                     {"attempts", 4},
+                     {"stretch", 2.0}}}},
+                  {"services",
+                   {{{"name", kService},
+                     {"health-path", "/healthz"},
+                     {"max-conns", 64},
+                     {"protocol", "h1"},
+                     {"tls", false},
+                     {"strict-admission", true},
+                     {"standby", false}}}},
+                  {"limits",
+                   {{"max-header-bytes", 16384},
+                    {"max-body-bytes", 262144},
+                    {"header-timeout-ms", 3000},
+                    {"idle-timeout-ms", 15000}}}};
   return body.dump();
 }
 
 Response Call(Record& record, const Address& front, const std::string& method,
               const std::string& id, const std::string& body, int deadline_ms) {
-  Response response = Send(
-      front,
-      {method, kPrefix + id, {{"host", kHost}, {"X-Deadline-Ms", std::to_string(deadline_ms)}}, body},
-      deadline_ms);
+  Response response = Send(front,
+                           {method,
+                            kPrefix + id,
+                            {{"host", kHost}, {"X-Deadline-Ms", std::to_string(deadline_ms)}},
+                            body},
+                           deadline_ms);
   record.Write("client: " + method + " " + kPrefix + id + " to " + ToText(front) + ": " +
                (response.status == 0 ? "no answer" : std::to_string(response.status)) + " " +
                response.body.substr(0, 120));
@@ -70,7 +71,8 @@
 }
 
 std::string StateOf(Record& record, Deployment& deployment, const std::string& id) {
-  const Response response = Call(record, deployment.Front(*deployment.Role("edge")[0]), "GET", id, "");
+  const Response response =
+      Call(record, deployment.Front(*deployment.Role("edge")[0]), "GET", id, "");
   const json parsed = json::parse(response.body, nullptr, false);
   if (response.status == 200 && parsed.is_object()) return parsed.value("state", "");
   return std::to_string(response.status);
@@ -106,7 +108,8 @@
       ++overlaps;
       const auto text = [](const RunOnWorker& run) {
         return "run " + std::to_string(run.run) + " on " + run.worker + " from " +
-               std::to_string(run.began) + " to " + std::to_string(run.ended) + " ms (" + run.how + ")";
+               std::to_string(run.began) + " to " + std::to_string(run.ended) + " ms (" + run.how +
+               ")";
       };
       record.Result("TWICE: " + a.task + ": " + text(a) + " and " + text(b) + ", " +
                     std::to_string(common) + " ms at the same time");
--- a/review/lab/deployment.cc
+++ b/review/lab/deployment.cc
@@ -36,7 +36,8 @@
 /// The quoted text after `key = ` behind the heading `section`.
 std::string ValueOf(const std::string& text, const std::string& section, const std::string& key) {
   const std::size_t heading = text.find("[" + section + "]");
-  const std::size_t found = heading == std::string::npos ? heading : text.find(key + " = \"", heading);
+  const std::size_t found =
+      heading == std::string::npos ? heading : text.find(key + " = \"", heading);
   if (found == std::string::npos) throw std::runtime_error("no " + key + " in the deploy file");
   const std::size_t begin = found + key.size() + 4;
   return text.substr(begin, text.find('"', begin) - begin);
@@ -140,28 +141,28 @@
     if (other->role != "core") continue;
     settings["seed-addrs"].push_back(ToText(this->Control(*other)));
   }
-  settings["contracts"] = {"base",  "drain",  "config",  "cost",   "recover",
+  settings["contracts"] = {"base",  "drain",  "config", "cost",   "recover",
                            "sched", "advice", "upkeep", "sharing"};
   // The bounds of a small deployment in SYSTEM.md.
-  settings["bounds"] = {{"seed-lag-s", 3},    {"reuse-after-s", 2},  {"contact-ms", 3000},
-                        {"ack-ms", 4000},     {"catch-up-s", 4},     {"drain-ms", 2000},
-                        {"grace-s", 6},       {"loss-slack-ms", 200}, {"config-ms", 2000},
-                        {"recover-s", 12},    {"hold-max-ms", 6000}, {"stop-ms", 900},
-                        {"gang-ms", 3000},    {"cancel_ms", 3000},   {"visible_ms", 3000},
-                        {"early_ms", 250},    {"finish_s", 14},      {"status_s", 120},
-                        {"enforce-fence", true}, {"lease-ms", 3000}, {"thaw-ms", 300}};
+  settings["bounds"] = {{"seed-lag-s", 3},       {"reuse-after-s", 2},   {"contact-ms", 3000},
+                        {"ack-ms", 4000},        {"catch-up-s", 4},      {"drain-ms", 2000},
+                        {"grace-s", 6},          {"loss-slack-ms", 200}, {"config-ms", 2000},
+                        {"recover-s", 12},       {"hold-max-ms", 6000},  {"stop-ms", 900},
+                        {"gang-ms", 3000},       {"cancel_ms", 3000},    {"visible_ms", 3000},
+                        {"early_ms", 250},       {"finish_s", 14},       {"status_s", 120},
+                        {"enforce-fence", true}, {"lease-ms", 3000},     {"thaw-ms", 300}};
   if (is_core) {
     const std::string data = this->folder + "/data-" + machine.name;
     std::filesystem::create_directories(data);
     settings["listen"] = {{"control", ToText(this->Control(machine))}};
-    settings["limits"] = {{"cpu-quota", 0.5},  {"cores", 1},          {"memory-mb", 256},
-                          {"max-fds", 4096},   {"link-mbps", 1000.0}, {"disk-mb", 128}};
+    settings["limits"] = {{"cpu-quota", 0.5}, {"cores", 1},          {"memory-mb", 256},
+                          {"max-fds", 4096},  {"link-mbps", 1000.0}, {"disk-mb", 128}};
     settings["data-dir"] = data;
   } else {
     settings["listen"] = {{"front", machine.ip + ":" + std::to_string(this->front)},
                           {"ready", machine.ip + ":" + std::to_string(this->ready)}};
-    settings["limits"] = {{"cpu-quota", 0.1},  {"cores", 1},          {"memory-mb", 260},
-                          {"max-fds", 4100},   {"link-mbps", 1000.0}, {"disk-mb", 0}};
+    settings["limits"] = {{"cpu-quota", 0.1}, {"cores", 1},          {"memory-mb", 260},
+                          {"max-fds", 4100},  {"link-mbps", 1000.0}, {"disk-mb", 0}};
     settings["data-dir"] = nullptr;
   }
   return settings.dump(1);
@@ -201,7 +202,9 @@
 
 void Deployment::Signal(const Machine& machine, int number) {
   this->record.Write("platform: " + machine.name + " gets signal " + std::to_string(number) +
-                     (number == SIGSTOP ? " (stands still)" : number == SIGCONT ? " (goes on)" : ""));
+                     (number == SIGSTOP   ? " (stands still)"
+                      : number == SIGCONT ? " (goes on)"
+                                          : ""));
   kill(machine.process, number);
 }
 
--- a/review/lab/deployment.h
+++ b/review/lab/deployment.h
@@ -39,7 +39,9 @@
   bool HasEnded(Machine& machine);
   /// The machine of the core that answers a GET of the configuration itself.
   Machine* Leader();
-  [[nodiscard]] Address Control(const Machine& machine) const { return {machine.ip, this->control}; }
+  [[nodiscard]] Address Control(const Machine& machine) const {
+    return {machine.ip, this->control};
+  }
   [[nodiscard]] Address Front(const Machine& machine) const { return {machine.ip, this->front}; }
   [[nodiscard]] Address WorkerAddress(int zone, int number) const;
   [[nodiscard]] static std::string ZoneName(int zone);
--- a/review/lab/http.h
+++ b/review/lab/http.h
@@ -35,7 +35,8 @@
 /// Sends one request over a connection of its own.
 Response Send(const Address& to, const Request& request, int timeout_ms);
 
-/// One thread per connection. Stop() closes everything with a reset, as the crash of a process does.
+/// One thread per connection. Stop() closes everything with a reset, as the crash of a process
+/// does.
 class Server {
  public:
   using Handler = std::function<Response(const Request&)>;
--- a/review/lab/worker.cc
+++ b/review/lab/worker.cc
@@ -14,8 +14,38 @@
   return spec.starts_with("ms=") ? std::atoll(spec.c_str() + 3) : 1'000;
 }
 
+/// Number of members of the task's gang, 0 when it is in none.
+int GangSizeOf(const std::string& spec) {
+  const std::size_t found = spec.find("gang=");
+  return found == std::string::npos ? 0 : std::atoi(spec.c_str() + found + 5);
+}
+
 }  // namespace
 
+std::int64_t Gangs::Join(const std::string& gang, const std::string& task, int count,
+                         std::int64_t now) {
+  const std::scoped_lock lock(this->mutex);
+  Gang& found = this->gangs[gang];
+  found.members.insert(task);
+  if (found.began < 0 && static_cast<int>(found.members.size()) == count) found.began = now;
+  return found.began;
+}
+
+std::int64_t Gangs::BeganAt(const std::string& gang) {
+  const std::scoped_lock lock(this->mutex);
+  return this->gangs[gang].began;
+}
+
+void Gangs::Break(const std::string& gang) {
+  const std::scoped_lock lock(this->mutex);
+  this->gangs[gang].broken = true;
+}
+
+bool Gangs::IsBroken(const std::string& gang) {
+  const std::scoped_lock lock(this->mutex);
+  return this->gangs[gang].broken;
+}
+
 Worker::Worker(Record& case_record, WorkerSettings worker_settings)
     : record(case_record), settings(std::move(worker_settings)) {}
 
@@ -102,6 +132,7 @@
   log.ended = this->record.Now();
   log.how = how;
   const int number = found->second.number;
+  if (!found->second.gang.empty() && how != "done") this->settings.gangs->Break(found->second.gang);
   this->running.erase(found);
   this->closed[task] = std::max(this->closed[task], number);
   if (how != "crashed") this->ends.push_back({++this->last_end, task, number, how});
@@ -116,7 +147,23 @@
   const std::int64_t now = this->Clock();
   std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : this->running) {
-    if (now >= run.ends_at) {
+    if (!run.gang.empty()) {
+      const std::int64_t began = this->settings.gangs->BeganAt(run.gang);
+      const std::int64_t work = WorkOf(this->runs[run.log].spec);
+      if (began >= 0 && this->record.Now() >= began + work) {
+        over.emplace_back(task, "done");
+        continue;
+      }
+      if (this->settings.gangs->IsBroken(run.gang)) {
+        over.emplace_back(task, "broken");
+        continue;
+      }
+      if (began < 0 && now >= run.joined_at + this->settings.gang_ms) {
+        over.emplace_back(task, "alone");
+        continue;
+      }
+    }
+    if (run.gang.empty() && now >= run.ends_at) {
       over.emplace_back(task, "done");
     } else if (run.stops_at && now >= *run.stops_at) {
       over.emplace_back(task, "stopped");
@@ -127,7 +174,32 @@
   for (const auto& [task, how] : over) this->Finish(task, how);
 }
 
+void Worker::Cut(bool on) {
+  this->record.Write("worker " + this->settings.id +
+                     (on ? " is cut off and runs on" : " is no longer cut off"));
+  this->cut = on;
+}
+
 Response Worker::Handle(const Request& request) {
+  const auto wait_for_end_of_cut = [this] {
+    while (this->cut && !this->stopping) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  };
+  // What arrives during a cut is lost, and so is what is answered.
+  if (this->cut) {
+    wait_for_end_of_cut();
+    return {};
+  }
+  const Response response = this->Carry(request);
+  if (request.path == "/api/run-start" && response.status == 200 &&
+      this->cut_after_start.exchange(false)) {
+    this->Cut(true);
+  }
+  if (!this->cut) return response;
+  wait_for_end_of_cut();
+  return {};
+}
+
+Response Worker::Carry(const Request& request) {
   const auto expected = request.headers.find("x-expect-instance");
   if (expected != request.headers.end() && expected->second != this->settings.id) {
     const std::scoped_lock lock(this->mutex);
@@ -175,6 +247,11 @@
   run.number = number;
   run.ends_at = this->Clock() + WorkOf(spec);
   run.log = this->runs.size();
+  if (const int size = GangSizeOf(spec); size > 0) {
+    run.gang = task.substr(0, task.rfind('.')) + "/" + std::to_string(number);
+    run.joined_at = this->Clock();
+    this->settings.gangs->Join(run.gang, task, size, this->record.Now());
+  }
   this->runs.push_back({task, number, this->settings.id, spec, this->record.Now(), -1, ""});
   this->running.emplace(task, run);
   return answer(200, "");
@@ -242,18 +319,23 @@
   std::string beat_address;
   std::int64_t sequence = 0;
   while (!this->stopping) {
-    json body{{"service", this->settings.service},
-              {"addr", ToText(this->settings.address)},
-              {"zone", this->settings.zone},
-              {"version", "v1"},
-              {"slots", 8},
-              {"state", "ready"},
-              {"cold-left-ms", 0},
-              {"room", {{"cpu", this->settings.cpu}, {"mem-mb", this->settings.memory_mb}, {"gpu", 0}}},
-              {"labels", {"a", this->settings.rack}},
-              {"time-ms", this->Clock()},
-              {"born", this->born_ms},
-              {"seq", ++sequence}};
+    json body{
+        {"service", this->settings.service},
+        {"addr", ToText(this->settings.address)},
+        {"zone", this->settings.zone},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold-left-ms", 0},
+        {"room", {{"cpu", this->settings.cpu}, {"mem-mb", this->settings.memory_mb}, {"gpu", 0}}},
+        {"labels", {"a", this->settings.rack}},
+        {"time-ms", this->Clock()},
+        {"born", this->born_ms},
+        {"seq", ++sequence}};
+    if (this->cut) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      continue;
+    }
     Address to = beat_address.empty() ? this->settings.control[next] : ParseAddress(beat_address);
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
     Response response;
@@ -270,8 +352,8 @@
     }
     const bool ok = response.status >= 200 && response.status < 300;
     if (sequence <= 2 || !ok) {
-      this->record.Write("worker " + this->settings.id + ": heartbeat " +
-                         std::to_string(sequence) + " to " + ToText(to) + ": " +
+      this->record.Write("worker " + this->settings.id + ": heartbeat " + std::to_string(sequence) +
+                         " to " + ToText(to) + ": " +
                          (response.status == 0 ? "no answer" : std::to_string(response.status)));
     }
     if (!ok) {
--- a/review/lab/worker.h
+++ b/review/lab/worker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,6 +32,28 @@
   int beat_ms = 1'500;
   int hold_max_ms = 6'000;
   int stop_ms = 900;
+  int gang_ms = 3'000;
+  class Gangs* gangs = nullptr;
+};
+
+/// Where the members of gangs find each other. The text of a gang's tasks contains "gang=COUNT".
+class Gangs {
+ public:
+  /// Notes a member of `gang`; returns when all are present, -1 before that.
+  std::int64_t Join(const std::string& gang, const std::string& task, int count, std::int64_t now);
+  [[nodiscard]] std::int64_t BeganAt(const std::string& gang);
+  /// A member has ended early; the others are broken.
+  void Break(const std::string& gang);
+  [[nodiscard]] bool IsBroken(const std::string& gang);
+
+ private:
+  struct Gang {
+    std::set<std::string> members;
+    std::int64_t began = -1;
+    bool broken = false;
+  };
+  std::mutex mutex;
+  std::map<std::string, Gang> gangs;
 };
 
 /// One run of a task on a worker, for the check.
@@ -58,6 +81,11 @@
   [[nodiscard]] bool IsIdle();
   [[nodiscard]] std::vector<RunOnWorker> Runs();
   [[nodiscard]] const WorkerSettings& Settings() const { return this->settings; }
+  /// Cuts the worker off from the system, silently and both ways; it runs on.
+  void Cut(bool on);
+  /// Cuts the worker off once it has carried out its next start, before the answer leaves.
+  void CutAfterNextStart() { this->cut_after_start = true; }
+  [[nodiscard]] bool IsCut() const { return this->cut; }
   /// The present life has been confirmed by the system.
   [[nodiscard]] bool IsAnnounced() const { return this->announced; }
 
@@ -67,6 +95,8 @@
     int number = 0;
     std::int64_t ends_at = 0;  // on the worker's clock
     std::optional<std::int64_t> stops_at;
+    std::string gang;  // empty: none
+    std::int64_t joined_at = 0;
   };
   struct End {
     std::int64_t number = 0;
@@ -76,6 +106,7 @@
   };
 
   Response Handle(const Request& request);
+  Response Carry(const Request& request);
   Response StartRun(const std::string& body);
   Response StopRun(const std::string& body);
   Response Hold(const std::string& body);
@@ -106,6 +137,8 @@
   std::thread announcer;
   std::atomic<bool> stopping = false;
   std::atomic<bool> announced = false;
+  std::atomic<bool> cut = false;
+  std::atomic<bool> cut_after_start = false;
 };
 
 }  // namespace lab
