--- a/review/lab/deployment.cc
+++ b/review/lab/deployment.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -177,6 +178,8 @@
   const std::string log = this->folder + "/log-" + machine.name;
   const pid_t child = fork();
   if (child == 0) {
+    // Whatever ends the case ends the programs that it started.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
