Don't plan starts again whose commit is unknown

Cause: a leader in contact with a majority that can't commit gets "unknown" for its proposal after 10 s. RunManager took that for "not in the log" and planned the same run numbers on other targets; later both proposals were committed. OnApplied compared only the run number with the state and sent the starts that the state had ignored.

Change: a command of RunManager is reported only once its fate is certain. OnApplied compares the target, too.

Both tests fail without their line.

--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -112,9 +112,12 @@
         replica_manager({.voters = 2 * this->settings.tolerated_failures + 1}) {}
 
   void Propose(const workload::Command& command, OnProposed done) override {
-    this->ProposeWith(command, [this, done = std::move(done)](const entry::ProposalResult& result) {
-      done(this->loop.Now(), result.fate == entry::ProposalFate::kApplied);
-    });
+    this->ProposeWith(
+        command,
+        [this, done = std::move(done)](const entry::ProposalResult& result) {
+          done(this->loop.Now(), result.fate == entry::ProposalFate::kApplied);
+        },
+        std::nullopt);
   }
   bool MayLead() override { return this->log_service.MayLead(); }
   void RequestAdvance() override {
@@ -127,7 +130,8 @@
   std::int64_t TimeOfDayMs() override { return this->loop.WallNow(); }
   metrics::ActivityMeter& Meter() override { return this->meter; }
 
-  void ProposeWith(const workload::Command& command, entry::LogService::OnProposal done) {
+  void ProposeWith(const workload::Command& command, entry::LogService::OnProposal done,
+                   std::optional<base::Duration> timeout = entry::LogService::kProposalTime) {
     this->log_service.Propose(
         workload::EncodeCommand(command),
         [this, proposed_at = this->loop.Now(),
@@ -136,7 +140,7 @@
           this->commit_time += this->loop.Now() - proposed_at;
           done(result);
         },
-        entry::IfLost::kReport);
+        entry::IfLost::kReport, timeout);
   }
   std::string PeerName(std::string_view ip) const {
     return std::string(ip) + ":" + std::to_string(this->settings.peer_port);
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -425,7 +425,10 @@
   this->NoteStarts(now, *changes);
   for (const workload::Start& start : changes->starts) {
     const Task* task = this->state.FindTask(start.task);
-    if (task == nullptr || task->phase != TaskPhase::kRunning || task->run != start.run) continue;
+    // The state has ignored a start that contradicts an earlier one.
+    const bool is_current = task != nullptr && task->phase == TaskPhase::kRunning &&
+                            task->run == start.run && task->target == start.target;
+    if (!is_current) continue;
     TargetView& view = this->targets.FindOrCreate(start.target);
     if (view.incarnation != start.target) continue;
     view.runs.erase(start.task);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -37,7 +37,8 @@
  public:
   virtual ~LeaderContext() = default;
   /// Proposes a command; `done` reports whether it was applied here, and is never called from
-  /// within Propose().
+  /// within Propose(). Not before that is certain, however long it takes: a command that isn't
+  /// applied either isn't in the log and never will be, or this replica no longer leads.
   using OnProposed = std::function<void(base::TimePoint now, bool applied)>;
   virtual void Propose(const workload::Command& command, OnProposed done) = 0;
   /// True while no other replica can be leader.
--- a/src/libs/entry/log_service.cc
+++ b/src/libs/entry/log_service.cc
@@ -36,6 +36,7 @@
     std::optional<consensus::ProposalId> proposal;
     std::optional<consensus::RequestNumber> forward;
     IfLost if_lost = IfLost::kProposeAgain;
+    std::optional<base::Duration> timeout;
   };
 
   net::EventLoop& loop;
@@ -231,7 +232,7 @@
     } else if (!handed_over && now - item.started >= kLeaderWait) {
       this->Finish(std::move(item),
                    {ProposalFate::kNotAccepted, {}, "no majority of voters can be reached"});
-    } else if (handed_over && now - item.started >= kProposalTime) {
+    } else if (handed_over && item.timeout && now - item.started >= *item.timeout) {
       this->Finish(std::move(item),
                    {ProposalFate::kUnknown, {}, "the leader's answer didn't arrive"});
     } else {
@@ -352,11 +353,13 @@
   this->d->ScheduleFlush();
 }
 
-void LogService::Propose(std::string command, OnProposal done, IfLost if_lost) {
+void LogService::Propose(std::string command, OnProposal done, IfLost if_lost,
+                         std::optional<base::Duration> timeout) {
   Private::Pending item;
   item.command = std::move(command);
   item.done = std::move(done);
   item.if_lost = if_lost;
+  item.timeout = timeout;
   item.started = this->d->loop.Now();
   this->d->Submit(item);
   this->d->pending.push_back(std::move(item));
--- a/src/libs/entry/log_service.h
+++ b/src/libs/entry/log_service.h
@@ -45,7 +45,7 @@
 enum class ProposalFate : std::uint8_t {
   kApplied,      // committed and applied here
   kNotAccepted,  // not in the log and never will be
-  kUnknown,      // its answer didn't arrive in time
+  kUnknown,      // its answer didn't arrive in time, or a snapshot replaced its part of the log
 };
 
 inline constexpr base::NameTable<ProposalFate, 3> kProposalFateNames{{
@@ -89,7 +89,7 @@
 
   /// A proposal without a known leader is tried again until this time has passed.
   static constexpr base::Duration kLeaderWait = std::chrono::seconds(2);
-  /// A proposal whose fate isn't known after this time is reported as unknown.
+  /// A proposal whose fate isn't known after this time is by default reported as unknown.
   static constexpr base::Duration kProposalTime = std::chrono::seconds(10);
   /// Interval at which a failed disk is tried again. Each attempt copies up to one log segment.
   static constexpr base::Duration kDiskRetryInterval = std::chrono::milliseconds(500);
@@ -104,8 +104,10 @@
 
   /// An encoded message of another replica.
   void OnMessage(std::string_view message);
-  /// Proposes a command; `done` is called once, never from inside this call.
-  void Propose(std::string command, OnProposal done, IfLost if_lost = IfLost::kProposeAgain);
+  /// Proposes a command; `done` is called once, never from inside this call. Without a timeout, a
+  /// proposal that a leader has accepted is reported once its fate is certain.
+  void Propose(std::string command, OnProposal done, IfLost if_lost = IfLost::kProposeAgain,
+               std::optional<base::Duration> timeout = kProposalTime);
   /// Called for each applied command, with its answer.
   void SetOnApplied(OnApplied callback);
   /// Called after a snapshot replaced the state.
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -172,6 +172,27 @@
   CHECK(restarted > 0);
 }
 
+// Guards against a start that the replicated state has ignored and that is sent all the same
+// (review/2): a leader had planned the task twice, with the same run number on two targets.
+TEST_CASE("a start that contradicts an earlier one isn't sent") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 3'000;
+  simulation.RunFor(1'000);
+  simulation.Submit("0000000000000001", 1);
+  simulation.RunFor(500);
+  const workload::TaskRef ref{"0000000000000001", 0, 0, 0};
+  const workload::Task* task = simulation.log.state.FindTask(ref);
+  REQUIRE(task != nullptr);
+  REQUIRE(simulation.targets.starts == 1);
+  const std::string other = task->target.id == "t0" ? "t1" : "t0";
+  workload::RunChanges contradicting;
+  contradicting.starts = {{ref, task->run, simulation.targets.All().at(other).identity}};
+  simulation.log.Propose(simulation.log.term, contradicting, [](base::TimePoint, bool) {});
+  simulation.RunFor(500);
+  CHECK(simulation.targets.violations.empty());
+  CHECK(simulation.targets.starts == 1);
+}
+
 // Guards against requests from a deposed leader.
 TEST_CASE("a deposed leader sends no requests") {
   Simulation simulation(1, 2);
--- a/tests/auto/entry/tst_log_service.cc
+++ b/tests/auto/entry/tst_log_service.cc
@@ -181,6 +181,19 @@
   CHECK(voter.log.StorageFault() == "sync: input/output error");
 }
 
+// Guards against a leader that takes a proposal of unknown fate for lost (review/2): it planned the
+// same starts again, and both proposals were committed once a majority had synced them.
+TEST_CASE("a proposal without a timeout is reported once its fate is certain") {
+  SingleVoter voter;
+  voter.disk.sync_ms = 300;
+  std::vector<ProposalFate> fates;
+  const auto note = [&](const ProposalResult& result) { fates.push_back(result.fate); };
+  voter.log.Propose("impatient", note, IfLost::kReport, milliseconds(50));
+  voter.log.Propose("patient", note, IfLost::kReport, std::nullopt);
+  voter.RunUntil([&] { return fates.size() == 2; });
+  CHECK(fates == std::vector{ProposalFate::kUnknown, ProposalFate::kApplied});
+}
+
 // Guards against a voter that stays without a vote for good after its disk has failed once
 // (review/1): after the second such fault the core accepted nothing any more.
 TEST_CASE("a replica whose disk failed counts again once the disk works") {
