Let a foreign announcement replace no target that responds

Cause: any well-formed announcement was believed, and the state dropped the record of another target at its address.

Change: an announcement of an undeclared service is ignored. One that would replace another incarnation's record counts only after the target that it names has responded at that address. A registered incarnation keeps its address and service. The decision is the leader's, so the state machine is unchanged.

Conclusion: a record is replaced on the word of the target at its address only.

--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -176,6 +176,15 @@
   /// False when the request may not be sent now.
   bool SendStop(const dispatch::TargetView& view, const workload::TaskRef& task, std::uint32_t run);
   void OnNoResponse(dispatch::TargetView& view);
+  /// The incarnations whose records a registration replaces: under the same id, or at the same
+  /// address.
+  [[nodiscard]] std::vector<workload::TargetIncarnation> ReplacedBy(
+      const workload::TargetRecord& target) const;
+  /// Registers the target once it has responded at its address.
+  void RegisterIfPresent(base::TimePoint now, const Announcement& announcement,
+                         std::vector<workload::TargetIncarnation> replaced_targets,
+                         const OnAnnounced& done);
+  void Register(const Announcement& announcement, const OnAnnounced& done);
   /// Another target has responded at the address: this incarnation and its runs have ended.
   void OnOtherTarget(const workload::TargetIncarnation& target);
   void RemoveRecord(const workload::TargetIncarnation& target);
--- a/src/libs/controller/target_reports.cc
+++ b/src/libs/controller/target_reports.cc
@@ -1,4 +1,12 @@
 // Announcements of targets: registration, contact and departure.
+//
+// Announcements may come from other writers or be outdated. One that would replace the record of
+// another incarnation counts only if the target that it names responds at its address.
+#include <algorithm>
+#include <ranges>
+#include <utility>
+#include <vector>
+
 #include "controller/call_delegate.h"
 #include "controller/run_manager.h"
 #include "log/log.h"
@@ -8,6 +16,7 @@
 using dispatch::TargetView;
 using metrics::Activity;
 using metrics::ActivityMeter;
+using workload::TargetIncarnation;
 using workload::TargetRecord;
 
 void RunManager::Announce(base::TimePoint now, const Announcement& announcement,
@@ -21,6 +30,21 @@
     return done(true);
   }
   const bool is_same_incarnation = is_known && known->second.incarnation == target.incarnation;
+  const workload::Declaration& declaration = this->state.CurrentDeclaration();
+  const bool is_declared = std::ranges::any_of(
+      declaration.services, [&](const auto& service) { return service.name == target.service; });
+  // Neither changes during an incarnation.
+  const bool contradicts_record = is_same_incarnation && (known->second.address != target.address ||
+                                                          known->second.service != target.service);
+  if (contradicts_record || (!is_same_incarnation && declaration.version > 0 && !is_declared)) {
+    log::Warning(log::Category::kMembership, "announcement ignored",
+                 {{"target", target.incarnation.id},
+                  {"birth", target.incarnation.number},
+                  {"address", target.address},
+                  {"service", target.service},
+                  {"reason", contradicts_record ? "contradicts the record" : "unknown service"}});
+    return done(true);
+  }
   if (is_same_incarnation) {
     TargetView& view = this->targets.FindOrCreate(target.incarnation);
     if (announcement.sequence < view.poll.sequence) return done(true);
@@ -29,6 +53,53 @@
     if (announcement.clock) view.lease.OnClock(now, *announcement.clock);
     if (IsUnchanged(known->second, announcement)) return done(true);
   }
+  std::vector<TargetIncarnation> replaced_targets = this->ReplacedBy(target);
+  if (replaced_targets.empty()) return this->Register(announcement, done);
+  this->RegisterIfPresent(now, announcement, std::move(replaced_targets), done);
+}
+
+std::vector<TargetIncarnation> RunManager::ReplacedBy(const TargetRecord& target) const {
+  std::vector<TargetIncarnation> found;
+  for (const auto& [id, record] : this->state.Targets()) {
+    const bool match = id == target.incarnation.id || record.address == target.address;
+    if (match && record.incarnation != target.incarnation) found.push_back(record.incarnation);
+  }
+  return found;
+}
+
+void RunManager::RegisterIfPresent(base::TimePoint now, const Announcement& announcement,
+                                   std::vector<TargetIncarnation> replaced_targets,
+                                   const OnAnnounced& done) {
+  if (!this->context.MayLead() || !this->calls.IsReady(now)) return done(false);
+  PollRequest request;
+  request.fence = this->fence;
+  this->calls.Poll(
+      this->EndpointOf(announcement.target), request,
+      [this, announcement, done, replaced_targets = std::move(replaced_targets),
+       sent_generation = this->generation](base::TimePoint, const PollResponse& response) {
+        if (sent_generation != this->generation) return done(false);
+        const TargetIncarnation& announced = announcement.target.incarnation;
+        const bool has_responded = response.status == CallStatus::kDone;
+        const bool is_present = has_responded && (response.lists.incarnation == 0 ||
+                                                  response.lists.incarnation == announced.number);
+        if (!is_present) {
+          log::Warning(log::Category::kMembership, "announcement not confirmed by its target",
+                       {{"target", announced.id},
+                        {"birth", announced.number},
+                        {"address", announcement.target.address},
+                        {"verdict", base::NameOf(kCallStatusNames, response.status)}});
+          // Where another incarnation responds, a repeated announcement changes nothing.
+          return done(has_responded || response.status == CallStatus::kOtherIncarnation);
+        }
+        // Runs of an earlier incarnation under the same id may have been taken over.
+        std::ranges::copy_if(replaced_targets, std::inserter(this->replaced, this->replaced.end()),
+                             [&](const auto& target) { return target.id != announced.id; });
+        this->Register(announcement, done);
+      });
+}
+
+void RunManager::Register(const Announcement& announcement, const OnAnnounced& done) {
+  const TargetRecord& target = announcement.target;
   const auto on_proposed = [this, announcement, done](base::TimePoint applied_at, bool applied) {
     if (applied && this->leading) {
       TargetView& view = this->targets.FindOrCreate(announcement.target.incarnation);
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -55,6 +55,19 @@
   });
 }
 
+void FakeTargets::Replace(const std::string& id, const std::string& next_id) {
+  FakeTarget next;
+  next.identity = {next_id, this->time.NowMs()};
+  next.address = this->targets.at(id).address;
+  next.started_at = this->time.Now();
+  FakeTarget& old = this->targets.at(id);
+  old.is_up = false;
+  old.running.clear();
+  old.lease_generation += 1;
+  old.address.clear();
+  this->targets.emplace(next_id, next);
+}
+
 /// The clock of a target starts with its incarnation and is 2% slow.
 dispatch::TargetMilliseconds FakeTargets::ClockOf(const FakeTarget& target) const {
   return base::ToMilliseconds(this->time.Now() - target.started_at) * 98 / 100;
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -69,6 +69,8 @@
   void Add(const std::string& id);
   /// The target stops, and another incarnation of it starts at the same address after `ms`.
   void Reboot(const std::string& id, std::int64_t ms);
+  /// The target ends, and another one with a new id starts at its address.
+  void Replace(const std::string& id, const std::string& next_id);
   void SetIsolated(const std::string& id, bool isolated) {
     this->targets.at(id).isolated = isolated;
   }
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -248,6 +248,83 @@
   CHECK(simulation.AllComplete());
 }
 
+// Guards against an announcement of another writer that takes a target at work out of use, so that
+// its tasks are started elsewhere while they run on (review/4).
+TEST_CASE("a foreign announcement replaces no target that responds") {
+  struct Row {
+    const char* name;
+    std::function<void(Announcement&, const FakeTarget&)> change;
+  };
+  const std::vector<Row> rows{
+      {"unknown service and another id",
+       [](Announcement& foreign, const FakeTarget&) {
+         foreign.target.service = "not-named-here";
+         foreign.target.incarnation.id = "foreign";
+       }},
+      {"another id",
+       [](Announcement& foreign, const FakeTarget&) { foreign.target.incarnation.id = "foreign"; }},
+      {"another id without a start time",
+       [](Announcement& foreign, const FakeTarget&) {
+         foreign.target.incarnation = {"foreign", 0};
+       }},
+      {"the same id and a later start", [](Announcement&, const FakeTarget&) {}},
+      {"the same id and a later start at another target's address",
+       [](Announcement& foreign, const FakeTarget&) { foreign.target.address = "10.0.0.2:80"; }},
+      {"the same incarnation with an unknown service",
+       [](Announcement& foreign, const FakeTarget& target) {
+         foreign.target.incarnation = target.identity;
+         foreign.target.service = "not-named-here";
+         foreign.sequence = 1'000'000'000;
+       }},
+      {"the same incarnation at another target's address",
+       [](Announcement& foreign, const FakeTarget& target) {
+         foreign.target.incarnation = target.identity;
+         foreign.target.address = "10.0.0.2:80";
+       }},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    Simulation simulation(1, 3);
+    simulation.targets.run_ms = 8'000;
+    simulation.targets.stop_ms = 400;
+    simulation.RunFor(1'600);
+    simulation.Submit("0000000000000001", 6);
+    simulation.jobs = {"0000000000000001"};
+    simulation.RunFor(1'000);
+    for (int i = 0; i < 6; ++i) {
+      Announcement foreign = simulation.AnnouncementOf(simulation.targets.All().at("t0"));
+      foreign.target.incarnation.number = simulation.time.NowMs();
+      foreign.sequence = static_cast<std::uint64_t>(i);
+      row.change(foreign, simulation.targets.All().at("t0"));
+      simulation.leaders.back()->run_manager.Announce(simulation.time.Now(), foreign, [](bool) {});
+      simulation.RunFor(1'300);
+      CHECK(simulation.log.state.Targets().at("t0").incarnation ==
+            simulation.targets.All().at("t0").identity);
+    }
+    simulation.RunFor(20'000);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+    CHECK(simulation.targets.starts == 12);
+  }
+}
+
+// Guards against tasks that wait for the lease of a target whose successor has another id.
+TEST_CASE("a target with another id at the address replaces one that is gone") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 2'000;
+  simulation.RunFor(1'600);
+  simulation.Submit("0000000000000001", 4);
+  simulation.jobs = {"0000000000000001"};
+  simulation.RunFor(300);
+  simulation.targets.Replace("t0", "t9");
+  simulation.RunFor(2'000);
+  CHECK_FALSE(simulation.log.state.Targets().contains("t0"));
+  CHECK(simulation.log.state.Targets().contains("t9"));
+  simulation.RunFor(6'000);
+  CHECK(simulation.targets.violations.empty());
+  CHECK(simulation.AllComplete());
+}
+
 // Guards against requests from a deposed leader.
 TEST_CASE("a deposed leader sends no requests") {
   Simulation simulation(1, 2);
