Refuse deeply nested JSON and numbers that don't fit

Cause: the JSON library copies and prints values recursively. JsonReader printed whole refused values and copied nested objects, wire_json printed rows that it couldn't read. Numbers from outside were converted without a range.

Ports out of range were refused already; now tested.

Conclusion: an odd entry is refused with a reason and touches nothing else.

--- a/src/libs/entry/json_reader.cc
+++ b/src/libs/entry/json_reader.cc
@@ -9,6 +9,25 @@
 
 namespace mangoroad::entry {
 
+bool IsNestedTooDeeply(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 struct JsonReader::Private {
   nlohmann::json object;
   UnknownFields unknown = UnknownFields::kRefuse;
@@ -38,6 +57,10 @@
 
 JsonReader::JsonReader(std::string_view text, UnknownFields unknown) : JsonReader() {
   this->d->unknown = unknown;
+  if (IsNestedTooDeeply(text)) {
+    this->d->faults.emplace_back("the body is nested too deeply");
+    return;
+  }
   this->d->object = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (this->d->object.is_discarded()) {
     this->d->faults.emplace_back("the body isn't valid JSON");
--- a/src/libs/entry/json_reader.h
+++ b/src/libs/entry/json_reader.h
@@ -16,6 +16,14 @@
 /// Whether fields that aren't read are faults. Nested readers follow the outer one.
 enum class UnknownFields { kRefuse, kIgnore };
 
+/// Deepest nesting of arrays and objects that is read; the bodies of all interfaces need less
+/// than ten levels.
+inline constexpr int kMaxJsonDepth = 64;
+
+/// True for a text with deeper nesting. The JSON library copies and prints nested values
+/// recursively, so such a text must not be parsed: it would exhaust the stack.
+[[nodiscard]] bool IsNestedTooDeeply(std::string_view text);
+
 /// Reader of one JSON object. After the last field has been read, Fault() is empty or names the
 /// first faults.
 class JsonReader {
--- a/tests/auto/entry/tst_json_reader.cc
+++ b/tests/auto/entry/tst_json_reader.cc
@@ -54,5 +54,31 @@
   CHECK_FALSE(FaultOf(std::string(10'000, '[') + std::string(10'000, ']')).empty());
 }
 
+// Guards against a deeply nested field that ends the process (signal 11): values were printed and
+// copied recursively.
+TEST_CASE("a deeply nested field is refused") {
+  const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string field : {"name", "count", "share", "urgent", "kinds", "in_progress",
+                                  "nonce", "room", "steps", "unknown"}) {
+    INFO(field);
+    for (const std::string& value :
+         {nested, "{\"x\":" + nested + "}", "[{\"x\":" + nested + "}]"}) {
+      const std::string body = "{\"" + field + "\":" + value + "}";
+      CHECK(FaultOf(body) == "the body is nested too deeply");
+      JsonReader reader(body, UnknownFields::kIgnore);
+      reader.Object("room", Presence::kOptional);
+      reader.Objects("steps", Presence::kOptional);
+      CHECK_FALSE(reader.Fault().empty());
+    }
+  }
+}
+
+// Guards against brackets in texts that count as nesting.
+TEST_CASE("brackets in texts don't nest") {
+  CHECK_FALSE(IsNestedTooDeeply("{\"name\":\"" + std::string(1'000, '[') + "\"}"));
+  CHECK_FALSE(IsNestedTooDeeply("{\"name\":\"\\\"" + std::string(1'000, '{') + "\"}"));
+  CHECK(IsNestedTooDeeply("{\"name\":\"\\\\\",\"x\":" + std::string(1'000, '[')));
+}
+
 }  // namespace
 }  // namespace mangoroad::entry
--- a/tests/auto/platform/tst_wire_json.cc
+++ b/tests/auto/platform/tst_wire_json.cc
@@ -128,6 +128,63 @@
   CHECK(refused("{\"cpu\":16000,", "{\"cpu\":\"many\","));
   CHECK(refused("1788884062375", "17888840.5"));
   CHECK_FALSE(base::Ok(DecodeAnnouncement("i-1", "\xff\xfe")));
+  CHECK(refused("10.128.0.9:8080", "10.128.0.9:65536"));
+  CHECK(refused("10.128.0.9:8080", "10.128.0.9:0"));
+  CHECK(refused("10.128.0.9:8080", "10.128.0.9:-1"));
+  CHECK(refused("10.128.0.9:8080", "10.128.0.256:80"));
+  for (const std::string field : {"1788884062375", "482113", "16000", "4,\"born\""}) {
+    for (const char* number : {"1e999", "1e300", "99999999999999999999", "9223372036854775807"}) {
+      INFO(field << " " << number);
+      const bool is_sequence = field.starts_with("4,");
+      if (is_sequence && std::string_view(number).starts_with("92")) continue;
+      CHECK(refused(field, is_sequence ? std::string(number) + ",\"born\"" : number));
+    }
+  }
+}
+
+// Guards against an odd entry of another writer that ends the process: very deeply nested values
+// exhausted the stack when they were copied or printed.
+TEST_CASE("deeply nested bodies are refused") {
+  const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string from :
+       {"\"s\"", "\"10.128.0.9:8080\"", "\"ready\"", "16000", "[\"a\",\"r1-3\"]", "4,\"born\""}) {
+    INFO(from);
+    std::string text = kAnnouncement;
+    text.replace(text.find(from), from.size(),
+                 from.starts_with("4,") ? nested + ",\"born\"" : nested);
+    CHECK_FALSE(base::Ok(DecodeAnnouncement("i-1", text)));
+    CHECK_FALSE(DecodeLeave(text).has_value());
+  }
+  CHECK_FALSE(base::Ok(DecodeJob(R"({"spec":"x","steps":[{"count":)" + nested + "}]}")));
+  CHECK_FALSE(base::Ok(DecodeDeclaration(R"({"version":1,"routes":)" + nested + "}")));
+  CHECK(DecodePollResponse(200, R"({"time-ms":9,"running":[)" + nested + R"(],"finished":[]})")
+            .status == CallStatus::kInvalid);
+  CHECK(DecodeCallResponse(409, R"({"time-ms":9,"reason":)" + nested + "}").status ==
+        CallStatus::kInvalid);
+}
+
+// Guards against numbers that don't fit and are read as others, for example as a run that the
+// target doesn't have.
+TEST_CASE("rows with numbers that don't fit are skipped") {
+  const auto response = DecodePollResponse(200, R"({"time-ms":9,"born":77,
+    "running":[["5c0e7a21d94b36f8.0.1.17",4294967296,"",1,1],["5c0e7a21d94b36f8.0.1.1",1e300,"",1],
+      ["5c0e7a21d94b36f8.0.1.2",2,"",1e300,1e300]],
+    "finished":[[1e300,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+  REQUIRE(response.status == CallStatus::kDone);
+  REQUIRE(response.lists.running.size() == 1);
+  CHECK(response.lists.running[0].percent == 0);
+  CHECK(response.lists.ends.empty());
+  CHECK(response.lists.is_partial);
+  CHECK_FALSE(DecodeCallResponse(200, R"({"time-ms":1e300})").clock.has_value());
+}
+
+// Guards against occurrences whose time overflows and that start at once.
+TEST_CASE("a schedule whose times don't fit is refused") {
+  const std::string steps = R"("steps":[{"count":1}]})";
+  CHECK(base::Ok(DecodeJob(R"({"times":3,"first-ms":1788884062375,"interval-ms":1000,)" + steps)));
+  CHECK_FALSE(
+      base::Ok(DecodeJob(R"({"times":1000000,"first-ms":0,"interval-ms":9000000000000,)" + steps)));
+  CHECK_FALSE(base::Ok(DecodeJob(R"({"times":3,"first-ms":9223372036854775807,)" + steps)));
 }
 
 // Guards against a task that is mistaken for another one.
