Stop runs whose task another run has completed

Cause: a run's view could outlive its task. RemoveGang looked the members up through tasks that the state had just erased, the run's start was due again, and SendStart read the checkpoint of a task that doesn't exist.

Change: the state names the runs that a command has made obsolete. Confirmed members of a gang are forgotten, any other such run is stopped at its target.

The test of the gang ends with signal 11 on the code before, that of the earlier run fails.

Conclusion: the leader no longer depends on finding a task that has ended.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/soft_assert.h"
 #include "log/log.h"
 
 namespace mangoroad::controller {
@@ -91,15 +92,21 @@
   return run;
 }
 
-void RunManager::RemoveGang(const TaskRef& member) {
-  const workload::StepSpec* spec = this->state.SpecOf(member);
-  if (spec == nullptr || !spec->gang) return;
-  TaskRef ref = member;
-  for (ref.index = 0; ref.index < spec->count; ++ref.index) {
-    const Task* task = this->state.FindTask(ref);
-    TargetView* view = task == nullptr ? nullptr : this->targets.Find(task->target.id);
-    if (view != nullptr && view->incarnation == task->target) view->runs.erase(ref);
+void RunManager::OnSuperseded(const workload::SupersededRun& superseded) {
+  TargetView* view = this->targets.Find(superseded.target.id);
+  if (view == nullptr || view->incarnation != superseded.target) return;
+  const auto found = view->runs.find(superseded.task);
+  if (found == view->runs.end() || found->second.run != superseded.run) return;
+  RunView& run = found->second;
+  // The members of a gang end together, so one that was at work has ended, too.
+  if (superseded.is_gang_member && run.start_request == StartRequestState::kConfirmed) {
+    view->runs.erase(found);
+    return;
   }
+  run.is_superseded = true;
+  run.spec = nullptr;
+  view->has_pending_requests = true;
+  this->MarkChanged(superseded.target.id);
 }
 
 void RunManager::Conclude(const TaskRef& task, std::uint32_t run, const TargetIncarnation& target,
@@ -147,7 +154,8 @@
   this->StopFormerRuns(now, view);
   bool more = !view.former.empty();
   for (auto& [task, run] : view.runs) {
-    if (run.job == nullptr || workload::IsFinal(run.job->state) || run.is_migrating) {
+    if (run.job == nullptr || workload::IsFinal(run.job->state) || run.is_migrating ||
+        run.is_superseded) {
       more = true;
       if (run.start_request == StartRequestState::kToSend && !run.is_in_doubt) {
         this->Conclude(task, run.run, view.incarnation, RunEnd::kRefused);
@@ -186,6 +194,8 @@
 void RunManager::SendStart(base::TimePoint now, TargetView& view, const TaskRef& task) {
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const workload::Job* job = this->state.FindJob(task.job);
+  const Task* committed = this->state.FindTask(task);
+  MANGOROAD_SOFT_ASSERT(committed != nullptr, return);
   if (record == nullptr || job == nullptr || !this->context.MayLead()) return;
   const auto deadline = view.lease.Grant(now);
   if (!deadline) return;
@@ -196,7 +206,7 @@
   request.task = task;
   request.run = run.run;
   request.payload = job->spec.payload;
-  request.checkpoint = this->state.FindTask(task)->checkpoint;
+  request.checkpoint = committed->checkpoint;
   request.deadline = *deadline;
   request.fence = this->fence;
   const std::uint64_t sent_generation = this->generation;
@@ -444,8 +454,9 @@
     this->targets.OnRunEnded(*view, end.how, now);
     const auto run = view->runs.find(end.task);
     if (run != view->runs.end() && run->second.run == end.run) view->runs.erase(run);
-    if (end.how == RunEnd::kDone) this->RemoveGang(end.task);
   }
+  std::ranges::for_each(this->state.SupersededRuns(),
+                        [this](const auto& superseded) { this->OnSuperseded(superseded); });
   this->NoteStarts(now, *changes);
   for (const workload::Start& start : changes->starts) {
     const Task* task = this->state.FindTask(start.task);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -124,8 +124,8 @@
   void AdoptRuns(dispatch::TargetView& view);
   /// A run of a task that the replicated state contains.
   dispatch::RunView& AddRun(dispatch::TargetView& view, const workload::TaskRef& task) const;
-  /// The end of a gang's member is that of all others, which are listed on their own targets.
-  void RemoveGang(const workload::TaskRef& member);
+  /// Stops a run that another run's end has made obsolete, unless it has certainly ended with it.
+  void OnSuperseded(const workload::SupersededRun& superseded);
   bool NeedsPoll(base::TimePoint now, const dispatch::TargetView& view,
                  const workload::TargetRecord& record) const;
   /// Sends a poll to a target when one is due.
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -62,8 +62,8 @@
 struct RunView {
   std::uint32_t run = 0;
   /// The job and the step, so that they needn't be looked up for each run on each response. Valid
-  /// while the target is registered: the state keeps a job for minutes after its last run has
-  /// ended, and a view ends with its run.
+  /// while the state contains the run: it keeps a job for minutes after its last run has ended,
+  /// and the steps until then. `spec` is null for a superseded run.
   const workload::Job* job = nullptr;
   const workload::StepSpec* spec = nullptr;
   StartRequestState start_request = StartRequestState::kToSend;
@@ -86,6 +86,8 @@
   std::optional<base::TimePoint> throttled_since;
   /// The run is being stopped so that its task continues on another target.
   bool is_migrating = false;
+  /// The run is being stopped since its task is done; the state no longer contains the run.
+  bool is_superseded = false;
   /// See LatencyCriticalTask. Changes are counted in TargetView::baseline_changes.
   double baseline = LatencyCriticalTask::kUnknownBaseline;
   std::optional<base::TimePoint> violating_since;
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -144,6 +144,7 @@
 }
 
 Outcome WorkloadState::Handle(const RunChanges& command) {
+  this->superseded_runs.clear();
   for (const End& end : command.ends) {
     if (end.number > 0) {
       const auto target = this->targets.find(end.target.id);
@@ -204,6 +205,9 @@
   Job* same_job = nullptr;
   Task* task = this->Find(ref, &step, &same_job);
   if (task == nullptr || task->phase == TaskPhase::kDone) return;
+  if (task->phase == TaskPhase::kRunning) {
+    this->superseded_runs.push_back({ref, task->run, task->target, job.spec.steps[ref.step].gang});
+  }
   this->StopRunning(ref, *task, *step);
   task->phase = TaskPhase::kDone;
   task->checkpoint.clear();
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -21,6 +21,16 @@
 
 namespace mangoroad::workload {
 
+/// A run that another run's end has made obsolete: another member of its gang is done, or an
+/// earlier run of its task.
+struct SupersededRun {
+  TaskRef task;
+  std::uint32_t run = 0;
+  TargetIncarnation target;
+  bool is_gang_member = false;
+  bool operator==(const SupersededRun&) const = default;
+};
+
 /// Deterministic: replicas that apply the same commands have the same state.
 class WorkloadState {
  public:
@@ -49,6 +59,10 @@
   [[nodiscard]] const std::map<TargetIncarnation, std::set<TaskRef>>& RunningOn() const {
     return this->running_on;
   }
+  /// Those of the last RunChanges. Their tasks may no longer exist.
+  [[nodiscard]] const std::vector<SupersededRun>& SupersededRuns() const {
+    return this->superseded_runs;
+  }
   /// Periodic jobs with occurrences that aren't due yet.
   [[nodiscard]] const std::set<JobId>& ScheduledJobs() const { return this->scheduled_jobs; }
   /// Number of accepted non-periodic jobs of a queue of which no task has started.
@@ -95,6 +109,7 @@
   std::set<JobId> scheduled_jobs;
   std::map<std::string, std::size_t, std::less<>> pending;  ///< by queue, see Pending
   std::uint64_t last_target_change = 0;
+  std::vector<SupersededRun> superseded_runs;
 };
 
 }  // namespace mangoroad::workload
--- a/tests/auto/controller/run_simulation.h
+++ b/tests/auto/controller/run_simulation.h
@@ -119,6 +119,10 @@
                         if (!applied) this->Submit(id, count);
                       });
   }
+  void SubmitSpec(const std::string& id, const workload::JobSpec& spec) {
+    this->log.Propose(this->log.term, workload::Submit{id, "q", spec, this->time.NowMs()},
+                      [](base::TimePoint, bool) {});
+  }
   void RunFor(std::int64_t ms) { this->time.RunUntil(this->time.NowMs() + ms); }
   bool AllComplete() const {
     return std::ranges::all_of(this->jobs, [this](const std::string& id) {
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -325,6 +325,63 @@
   CHECK(simulation.AllComplete());
 }
 
+// Guards against a leader that ends with signal 11 when the gang of a scheduled job is done while a
+// member's target is silent (review/5): the run outlived its task and its start was sent again.
+TEST_CASE("a member's start isn't repeated once its gang is done") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 400;
+  simulation.RunFor(1'000);
+  workload::JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].count = 8;
+  spec.steps[0].resources = {4'000, 100, 0};
+  spec.steps[0].gang = true;
+  spec.occurrences = 2;
+  spec.first_ms = simulation.time.NowMs();
+  spec.interval_ms = 600'000;
+  simulation.targets.SetIsolated("t1", true);
+  simulation.SubmitSpec("0000000000000001", spec);
+  simulation.RunFor(600);
+  const workload::Job* job = simulation.log.state.FindJob("0000000000000001");
+  REQUIRE(job != nullptr);
+  CHECK(job->open.empty());
+  // Back before its lease is over.
+  simulation.RunFor(900);
+  simulation.targets.SetIsolated("t1", false);
+  simulation.RunFor(10'000);
+  CHECK(simulation.log.state.RunningOn().empty());
+  CHECK(simulation.targets.All().at("t1").running.empty());
+  // Only the four on the other target.
+  CHECK(simulation.targets.starts == 4);
+}
+
+// Guards against a task that runs on after an earlier run of it is done, for example one that
+// counted as lost.
+TEST_CASE("a run is stopped when an earlier run of its task is done") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 60'000;
+  simulation.RunFor(1'000);
+  workload::JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].resources = {4'000, 100, 0};
+  spec.occurrences = 2;
+  spec.first_ms = simulation.time.NowMs();
+  spec.interval_ms = 600'000;
+  simulation.SubmitSpec("0000000000000001", spec);
+  simulation.RunFor(500);
+  const workload::TaskRef ref{"0000000000000001", 0, 0, 0};
+  const workload::Task* task = simulation.log.state.FindTask(ref);
+  REQUIRE(task != nullptr);
+  const std::string target = task->target.id;
+  REQUIRE(simulation.targets.All().at(target).running.contains(ref));
+  workload::RunChanges changes;
+  changes.ends = {{ref, task->run - 1, {"t9", 1}, workload::RunEnd::kDone, {}, 1}};
+  simulation.log.Propose(simulation.log.term, changes, [](base::TimePoint, bool) {});
+  simulation.RunFor(2'500);
+  CHECK(simulation.log.state.FindTask(ref) == nullptr);
+  CHECK(simulation.targets.All().at(target).running.empty());
+}
+
 // Guards against requests from a deposed leader.
 TEST_CASE("a deposed leader sends no requests") {
   Simulation simulation(1, 2);
