Start a gang from one checkpoint, limit the tasks of a job

Cause: each start carried its own task's checkpoint; only the tasks of one step were limited.

Change: WorkloadState::CheckpointOf gives all members the first checkpoint of any. A job has at most 100,000 tasks in all steps, the limit of one step so far.

Conclusion: both were found by reading and are fixed by reading.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -194,8 +194,7 @@
 void RunManager::SendStart(base::TimePoint now, TargetView& view, const TaskRef& task) {
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const workload::Job* job = this->state.FindJob(task.job);
-  const Task* committed = this->state.FindTask(task);
-  MANGOROAD_SOFT_ASSERT(committed != nullptr, return);
+  MANGOROAD_SOFT_ASSERT(this->state.FindTask(task) != nullptr, return);
   if (record == nullptr || job == nullptr || !this->context.MayLead()) return;
   const auto deadline = view.lease.Grant(now);
   if (!deadline) return;
@@ -206,7 +205,7 @@
   request.task = task;
   request.run = run.run;
   request.payload = job->spec.payload;
-  request.checkpoint = committed->checkpoint;
+  request.checkpoint = this->state.CheckpointOf(task);
   request.deadline = *deadline;
   request.fence = this->fence;
   const std::uint64_t sent_generation = this->generation;
--- a/src/libs/workload/job.cc
+++ b/src/libs/workload/job.cc
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::size_t kMaxSteps = 1'000;
-constexpr std::uint32_t kMaxTasksOfStep = 100'000;
+/// Each replica allocates the tasks of a job as soon as it is accepted, and a core VM has 256 MiB.
+constexpr std::uint64_t kMaxTasksOfJob = 100'000;
 
 }  // namespace
 
@@ -59,8 +60,11 @@
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) return "a job has 1 to 1000 steps";
   if (spec.occurrences > 0 && spec.interval_ms < 0) return "the interval is negative";
   std::vector<bool> visited(spec.steps.size(), false);
+  std::uint64_t tasks = 0;
   for (const StepSpec& step : spec.steps) {
-    if (step.count == 0 || step.count > kMaxTasksOfStep) return "a step has 1 to 100000 tasks";
+    tasks += step.count;
+    if (step.count == 0) return "a step has at least one task";
+    if (tasks > kMaxTasksOfJob) return "a job has at most 100000 tasks in all steps";
     if (step.resources.cpu < 0 || step.resources.memory_mb < 0 || step.resources.accelerators < 0) {
       return "a step requests a negative amount of a resource";
     }
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -372,6 +372,18 @@
   return ref.index >= step.tasks.size() ? nullptr : &step.tasks[ref.index];
 }
 
+const std::string& WorkloadState::CheckpointOf(const TaskRef& ref) const {
+  static const std::string none;
+  const Task* task = this->FindTask(ref);
+  if (task == nullptr) return none;
+  const StepSpec* spec = this->SpecOf(ref);
+  if (spec == nullptr || !spec->gang) return task->checkpoint;
+  const std::vector<Task>& members = this->FindStep(ref.Step())->tasks;
+  const auto found =
+      std::ranges::find_if(members, [](const Task& member) { return !member.checkpoint.empty(); });
+  return found == members.end() ? none : found->checkpoint;
+}
+
 void WorkloadState::NoteChangeOf(const std::string& target_id) {
   const auto target = this->targets.find(target_id);
   if (target != this->targets.end()) target->second.last_change = ++this->last_target_change;
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -52,6 +52,9 @@
   [[nodiscard]] const StepSpec* SpecOf(const StepRef& ref) const;
   [[nodiscard]] const StepSpec* SpecOf(const TaskRef& ref) const;
   [[nodiscard]] const Task* FindTask(const TaskRef& ref) const;
+  /// The checkpoint that a start of this task carries; empty: none. The members of a gang all start
+  /// from one checkpoint, which may be that of any of them.
+  [[nodiscard]] const std::string& CheckpointOf(const TaskRef& ref) const;
   [[nodiscard]] const std::map<std::string, TargetRecord>& Targets() const { return this->targets; }
   /// Steps that have waiting tasks and whose predecessors are done.
   [[nodiscard]] const std::set<StepRef>& Ready() const { return this->ready; }
--- a/tests/auto/workload/tst_workload_codec.cc
+++ b/tests/auto/workload/tst_workload_codec.cc
@@ -76,6 +76,18 @@
   CHECK(RemainingCriticalPathsMs(spec).back() == 1'200);
 }
 
+// Guards against a job of a few KB that takes more memory than a core VM has.
+TEST_CASE("the tasks of all steps of a job are limited") {
+  JobSpec spec;
+  spec.steps.resize(1'000);
+  spec.steps[0].count = 99'001;
+  CHECK(FindSpecError(spec).empty());
+  spec.steps[0].count = 99'002;
+  CHECK(FindSpecError(spec) == "a job has at most 100000 tasks in all steps");
+  for (StepSpec& step : spec.steps) step.count = 4'294'967'295;
+  CHECK_FALSE(FindSpecError(spec).empty());
+}
+
 // Guards against accepting a job that can never finish, such as one with a dependency cycle.
 TEST_CASE("job specifications that can't run are rejected") {
   JobSpec spec;
--- a/tests/auto/workload/tst_workload_state.cc
+++ b/tests/auto/workload/tst_workload_state.cc
@@ -199,6 +199,31 @@
   CHECK(fixture.state.FindJob(kJob)->spec.steps.empty());
 }
 
+// Guards against members of a gang that start from different checkpoints: each carried its own, or
+// none, although the platform requires one value for all.
+TEST_CASE("the members of a gang start from one checkpoint") {
+  for (const bool is_gang : {true, false}) {
+    Fixture fixture;
+    StepSpec step = PlainStep(3);
+    step.gang = is_gang;
+    fixture.Submit({step});
+    for (std::uint32_t i = 0; i < 3; ++i) fixture.Start(0, i, 1);
+    CHECK(fixture.state.CheckpointOf({kJob, 0, 0, 0}).empty());
+    RunChanges changes;
+    changes.ends = {{{kJob, 0, 0, 0}, 1, kTarget, RunEnd::kGangMemberEnded, "", 1},
+                    {{kJob, 0, 0, 1}, 1, kTarget, RunEnd::kGangMemberEnded, "one", 2},
+                    {{kJob, 0, 0, 2}, 1, kTarget, RunEnd::kGangMemberEnded, "two", 3}};
+    fixture.state.Apply(changes);
+    std::vector<std::string> carried;
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      carried.push_back(fixture.state.CheckpointOf({kJob, 0, 0, i}));
+    }
+    CHECK(carried == (is_gang ? std::vector<std::string>{"one", "one", "one"}
+                              : std::vector<std::string>{"", "one", "two"}));
+  }
+  CHECK(WorkloadState().CheckpointOf({kJob, 0, 0, 0}).empty());
+}
+
 // Guards against restoring an ended incarnation when a network partition delays its announcement.
 TEST_CASE("a late announcement of an older incarnation is ignored") {
   Fixture fixture;
