Bound the wait for a former incarnation by the longest lease

Cause: former_runs.cc had no bound for refused stops, and the wait for a missing record used the lease that the leader grants, not the one that the target does.

Change: both use the longest lease that targets grant, which comes from the platform's settings instead of a constant.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -48,10 +48,18 @@
       former->runs.try_emplace(
           task, FormerRun{.run = this->state.FindTask(task)->run, .is_uncertain = true});
     }
-    former->longest_expiry = std::max(former->longest_expiry, now + this->settings.longest_lease);
+    if (former->longest_expiry == base::TimePoint{}) {
+      former->longest_expiry = this->LongestExpiry(now);
+    }
   }
 }
 
+base::TimePoint RunManager::LongestExpiry(base::TimePoint now) const {
+  const dispatch::LeaseDurations durations{this->settings.longest_lease,
+                                           this->settings.lease.margin};
+  return dispatch::LeaseClock(durations, now).SafeExpiry();
+}
+
 void RunManager::ForgetEndedFormerRuns(TargetView& view) {
   const auto& running_on = this->state.RunningOn();
   std::erase_if(view.former, [&](FormerIncarnation& former) {
@@ -107,7 +115,8 @@
   const FormerRun& run = found->second;
   if (run.absent_since) {
     const bool is_rejected = run.stop_confirmed && *run.stop_confirmed <= *run.absent_since;
-    if (!run.is_uncertain || is_rejected) return true;
+    // A target that refuses all stops must not hold the task for good.
+    if (!run.is_uncertain || is_rejected || now >= former->longest_expiry) return true;
   }
   if (view->unanswered_requests == 0) return false;
   // The present incarnation is silent. Whatever it took has a lease, which isn't extended.
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -327,12 +327,8 @@
                                          base::TimePoint since) const {
   if (this->replaced.contains(target)) return true;
   if (this->state.IsRetired(target)) return now - since >= this->settings.leave_timeout;
-  // It may run on, for example if its record was removed because of another one's announcement.
-  const TargetView* view = this->targets.Find(target.id);
-  const bool has_view = view != nullptr && view->incarnation == target;
-  const dispatch::LeaseClock unknown_lease(this->settings.lease, since);
-  return now >= std::max(unknown_lease.SafeExpiry(),
-                         has_view ? view->lease.SafeExpiry() : base::TimePoint{});
+  // Its next incarnation may hold the run and hasn't announced itself yet.
+  return now >= this->LongestExpiry(since);
 }
 
 void RunManager::CheckLeases(base::TimePoint now) {
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -69,9 +69,8 @@
   base::Duration stop_retry_interval = std::chrono::milliseconds(1000);
   /// A target that has left ends its runs within this time.
   base::Duration leave_timeout = std::chrono::milliseconds(1000);
-  /// Longest lease that targets grant, whatever deadline a request names, with the drift of their
-  /// clocks. 10 s on the platform's deployments.
-  base::Duration longest_lease = std::chrono::milliseconds(10'500);
+  /// Longest lease that targets grant, whatever deadline a request names; by their own clocks.
+  base::Duration longest_lease = std::chrono::seconds(10);
 };
 
 struct TargetContact;
@@ -195,6 +194,8 @@
                                              const workload::TargetIncarnation& target,
                                              base::TimePoint since) const;
   // former_runs.cc
+  /// When the longest lease that may have been granted until `now` is over.
+  [[nodiscard]] base::TimePoint LongestExpiry(base::TimePoint now) const;
   void OnTargetRegistered(base::TimePoint now, const workload::TargetIncarnation& incarnation);
   /// Notes the runs of earlier incarnations that the replicated state contains.
   void TrackFormerRuns(base::TimePoint now, dispatch::TargetView& view);
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -49,6 +49,7 @@
     next.identity = {id, this->time.NowMs()};
     next.address = old.address;
     next.isolated = old.isolated;
+    next.is_mute = old.is_mute;
     next.started_at = this->time.Now();
     next.lease_generation = old.lease_generation + 1;
     old = next;
@@ -205,6 +206,7 @@
       to,
       [this, request](FakeTarget& target) -> CallResponse {
         if (request.fence < target.fence) return {CallStatus::kFenced, this->ClockOf(target)};
+        if (this->refuses_stops) return {CallStatus::kUnhealthy, this->ClockOf(target)};
         target.fence = request.fence;
         const auto running = target.running.find(request.task);
         if (running != target.running.end() && running->second.run <= request.run) {
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -51,6 +51,8 @@
   bool isolated = false;
   /// No run on the target makes progress or ends by itself.
   bool is_stalled = false;
+  /// The target responds and doesn't announce itself.
+  bool is_mute = false;
   base::TimePoint started_at;
   Fence fence = 0;
   dispatch::TargetMilliseconds lease_until = 0;
@@ -77,6 +79,7 @@
   void SetStalled(const std::string& id, bool stalled) {
     this->targets.at(id).is_stalled = stalled;
   }
+  void SetMute(const std::string& id, bool mute) { this->targets.at(id).is_mute = mute; }
   [[nodiscard]] const std::map<std::string, FakeTarget>& All() const { return this->targets; }
 
   void Start(const TargetEndpoint& to, const StartRequest& request,
@@ -94,6 +97,7 @@
   double failure_probability = 0;
   /// Time that a run takes to stop, in ms.
   std::int64_t stop_ms = 0;
+  bool refuses_stops = false;
   /// One line for each start of a task that was still running elsewhere.
   std::vector<std::string> violations;
   std::set<workload::TaskRef> done;
--- a/tests/auto/controller/run_simulation.h
+++ b/tests/auto/controller/run_simulation.h
@@ -152,7 +152,7 @@
  private:
   void AnnounceTargets() {
     for (const auto& [id, target] : this->targets.All()) {
-      if (!target.is_up || target.isolated) continue;
+      if (!target.is_up || target.isolated || target.is_mute) continue;
       this->leaders.back()->run_manager.Announce(this->time.Now(), this->AnnouncementOf(target),
                                                  [](bool) {});
     }
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -382,6 +382,45 @@
   CHECK(simulation.targets.All().at(target).running.empty());
 }
 
+// Guards against a task that waits for good for a target that restarted and refuses every stop.
+TEST_CASE("a run that may have been taken is given up when all stops are refused") {
+  Simulation simulation(1, 2);
+  simulation.RunFor(1'600);
+  simulation.targets.refuses_stops = true;
+  simulation.targets.SetIsolated("t0", true);
+  simulation.Submit("0000000000000001", 4);
+  simulation.jobs = {"0000000000000001"};
+  simulation.RunFor(200);
+  simulation.targets.Reboot("t0", 20);
+  simulation.RunFor(500);
+  simulation.targets.SetIsolated("t0", false);
+  simulation.RunFor(20'000);
+  CHECK(simulation.targets.violations.empty());
+  CHECK(simulation.AllComplete());
+}
+
+// Guards against a run that is started elsewhere while the next incarnation of its target has it
+// and hasn't announced itself for longer than the leader's own leases last.
+TEST_CASE("a run is kept while the next incarnation of its target doesn't announce itself") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 30'000;
+  simulation.RunFor(1'600);
+  simulation.targets.SetMute("t0", true);
+  simulation.targets.Reboot("t0", 20);
+  simulation.RunFor(100);
+  simulation.Submit("0000000000000001", 4);
+  simulation.RunFor(100);
+  REQUIRE_FALSE(simulation.targets.All().at("t0").running.empty());
+  simulation.RunFor(8'000);
+  CHECK(simulation.targets.violations.empty());
+  simulation.targets.SetMute("t0", false);
+  simulation.targets.run_ms = 1'000;
+  simulation.jobs = {"0000000000000001"};
+  simulation.RunFor(40'000);
+  CHECK(simulation.targets.violations.empty());
+  CHECK(simulation.AllComplete());
+}
+
 // Guards against requests from a deposed leader.
 TEST_CASE("a deposed leader sends no requests") {
   Simulation simulation(1, 2);
