Keep the linter clean in two tests

Cause: a concatenation and a push_back in a loop. Change: fmt::format and a vector of fixed size; the checks are the same. Result: both tests pass, the linter is clean on both files.

--- a/tests/auto/entry/tst_json_reader.cc
+++ b/tests/auto/entry/tst_json_reader.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -63,7 +65,7 @@
     INFO(field);
     for (const std::string& value :
          {nested, "{\"x\":" + nested + "}", "[{\"x\":" + nested + "}]"}) {
-      const std::string body = "{\"" + field + "\":" + value + "}";
+      const std::string body = fmt::format(R"({{"{}":{}}})", field, value);
       CHECK(FaultOf(body) == "the body is nested too deeply");
       JsonReader reader(body, UnknownFields::kIgnore);
       reader.Object("room", Presence::kOptional);
--- a/tests/auto/workload/tst_workload_state.cc
+++ b/tests/auto/workload/tst_workload_state.cc
@@ -214,9 +214,9 @@
                     {{kJob, 0, 0, 1}, 1, kTarget, RunEnd::kGangMemberEnded, "one", 2},
                     {{kJob, 0, 0, 2}, 1, kTarget, RunEnd::kGangMemberEnded, "two", 3}};
     fixture.state.Apply(changes);
-    std::vector<std::string> carried;
+    std::vector<std::string> carried(3);
     for (std::uint32_t i = 0; i < 3; ++i) {
-      carried.push_back(fixture.state.CheckpointOf({kJob, 0, 0, i}));
+      carried[i] = fixture.state.CheckpointOf({kJob, 0, 0, i});
     }
     CHECK(carried == (is_gang ? std::vector<std::string>{"one", "one", "one"}
                               : std::vector<std::string>{"", "one", "two"}));
