Acknowledge ends only to the incarnation that has listed them

Cause: a poll names its target by the id alone and repeated the highest acknowledgement each time. The next incarnation numbers its ends anew, and forgot those up to that number unread. Once a response had shown the restart, polls even went on at once until the record's removal was committed, each with one more proposal to remove it.

Change: an acknowledgement is sent until it is confirmed and not again, and never to a target that left the last request unanswered. After a response of another incarnation nothing more is sent for the former one, and its record is removed once.

Conclusion: what a restarted target has done is read before it is forgotten.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -29,7 +29,10 @@
 void RunManager::OnTargetRegistered(base::TimePoint now, const TargetIncarnation& incarnation) {
   // The state has ignored the registration of an incarnation that was replaced already.
   if (this->RecordOf(incarnation) == nullptr) return;
-  this->TrackFormerRuns(now, this->targets.FindOrCreate(incarnation));
+  TargetView& view = this->targets.FindOrCreate(incarnation);
+  // It has responded again at its address.
+  view.is_replaced = false;
+  this->TrackFormerRuns(now, view);
   this->MarkChanged(incarnation.id);
 }
 
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -121,7 +121,7 @@
 
 void RunManager::SendDueRequests(base::TimePoint now, TargetView& view) {
   this->target_checks += 1;
-  if (!view.is_fenced || !view.has_pending_requests) return;
+  if (!view.is_fenced || view.is_replaced || !view.has_pending_requests) return;
   // The runs of a target that has left may outlive their jobs.
   if (this->RecordOf(view.incarnation) == nullptr) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kRequests);
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -1,6 +1,7 @@
 // Polls of targets: leases, lists of running and ended runs.
 #include <algorithm>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "controller/run_manager.h"
@@ -28,6 +29,15 @@
 /// Interval of polls while runs of a former incarnation are to be accounted for.
 constexpr base::Duration kFormerRunsPollInterval = std::chrono::milliseconds(20);
 
+/// The number of the last end to acknowledge, 0 for none. The next incarnation of a target numbers
+/// its ends anew and forgets those that a request for the former one acknowledges. So one that was
+/// confirmed isn't repeated, and none goes to a target of which it isn't known that it still is the
+/// same.
+std::uint64_t AcknowledgementDue(const TargetView& view, const TargetRecord& record) {
+  const bool is_confirmed = view.poll.acknowledged >= record.acknowledged;
+  return view.is_fenced && view.unanswered_requests == 0 && !is_confirmed ? record.acknowledged : 0;
+}
+
 void NoteProgress(base::TimePoint now, RunView& run, const dispatch::RunningRow& row) {
   run.is_listed = true;
   if (row.percent > run.percent || run.progressed_at == base::TimePoint{}) run.progressed_at = now;
@@ -49,7 +59,7 @@
 
 void RunManager::SendPollIfDue(base::TimePoint now, TargetView& view) {
   const dispatch::PollState& poll = view.poll;
-  if (poll.in_flight || now < poll.next_at) return;
+  if (poll.in_flight || view.is_replaced || now < poll.next_at) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPolls);
   const TargetRecord* record = this->RecordOf(view.incarnation);
   if (record == nullptr) return;
@@ -64,7 +74,7 @@
   view.poll.in_flight = true;
   PollRequest request;
   request.fence = this->fence;
-  request.acknowledged = record.acknowledged;
+  request.acknowledged = AcknowledgementDue(view, record);
   // The lease of a silent target isn't extended, or it would never expire.
   const std::optional<base::Duration> lease_left = view.lease.Left(now);
   if (view.unanswered_requests == 0) request.deadline = view.lease.Grant(now);
@@ -137,9 +147,19 @@
 }
 
 void RunManager::RemoveRecord(const TargetIncarnation& target) {
+  TargetView* view = this->targets.Find(target.id);
+  const bool is_current = view != nullptr && view->incarnation == target;
+  if (is_current && std::exchange(view->is_replaced, true)) return;
   log::Warning(log::Category::kJobs, "target was replaced",
                {{"target", target.id}, {"birth", target.number}});
-  this->context.Propose(workload::RemoveTarget{target}, [](base::TimePoint, bool) {});
+  this->context.Propose(
+      workload::RemoveTarget{target},
+      [this, target, sent_generation = this->generation](base::TimePoint, bool applied) {
+        if (applied || sent_generation != this->generation) return;
+        // The next response decides again.
+        TargetView* view_now = this->targets.Find(target.id);
+        if (view_now != nullptr && view_now->incarnation == target) view_now->is_replaced = false;
+      });
 }
 
 void RunManager::ApplyRunning(base::TimePoint now, TargetView& view,
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -138,6 +138,8 @@
   /// The lists were read under this term's fence, so no request of an earlier leader can take
   /// effect.
   bool is_fenced = false;
+  /// Another incarnation, or another target, has responded at the address. Nothing more is sent.
+  bool is_replaced = false;
   /// Consecutive requests without a response.
   int unanswered_requests = 0;
   /// Consecutive failed runs, of different jobs.
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -405,6 +405,77 @@
   CHECK(simulation.AllComplete());
 }
 
+// Guards against ends that a restarted target forgets unread: polls that are meant for its former
+// incarnation acknowledged them, so that tasks that were done ran again.
+TEST_CASE("a restarted target isn't sent acknowledgements for its former incarnation") {
+  for (const std::int64_t commit_delay_ms : {std::int64_t{20}, std::int64_t{300}}) {
+    for (std::int64_t submit_after_ms = 0; submit_after_ms <= 300; submit_after_ms += 20) {
+      INFO("commits take " << commit_delay_ms << " ms, submitted after " << submit_after_ms);
+      Simulation simulation(1, 2);
+      simulation.targets.run_ms = 150;
+      simulation.RunFor(1'000);
+      simulation.Submit("0000000000000001", 16);
+      simulation.RunFor(3'000);
+      REQUIRE(simulation.log.state.Targets().at("t0").acknowledged > 8);
+      simulation.targets.SetMute("t0", true);
+      simulation.targets.Reboot("t0", 20);
+      simulation.RunFor(submit_after_ms);
+      simulation.log.commit_delay_ms = commit_delay_ms;
+      simulation.Submit("0000000000000002", 8);
+      simulation.RunFor(1'500);
+      simulation.targets.SetMute("t0", false);
+      simulation.jobs = {"0000000000000001", "0000000000000002"};
+      simulation.RunFor(20'000);
+      for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+      CHECK(simulation.AllComplete());
+    }
+  }
+}
+
+// Guards against a leader that asks a replaced target again at once, and has its record removed
+// anew with each response, until the first removal is committed.
+TEST_CASE("a target that was replaced is left alone until its record is removed") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 60'000;
+  simulation.RunFor(1'000);
+  simulation.Submit("0000000000000001", 8);
+  simulation.RunFor(500);
+  simulation.log.commit_delay_ms = 2'000;
+  simulation.targets.SetIsolated("t1", true);
+  simulation.targets.SetMute("t0", true);
+  simulation.targets.Reboot("t0", 20);
+  simulation.RunFor(1'000);
+  const std::uint64_t polls = simulation.targets.polls;
+  simulation.RunFor(1'000);
+  // Only those of the other target, which is silent.
+  CHECK(simulation.targets.polls - polls <= 10);
+}
+
+// Guards against requests to a former incarnation that the next one carries out seconds later: an
+// acknowledgement made it forget its own ends, and tasks that were done ran again.
+TEST_CASE("late requests to a former incarnation have no effect on the next one") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    Simulation simulation(seed, 3);
+    simulation.targets.run_ms = 200;
+    simulation.RunFor(1'000);
+    for (int i = 0; i < 12; ++i) {
+      const std::string id = "00000000000000" + std::to_string(10 + i);
+      simulation.jobs.push_back(id);
+      simulation.time.After(i * 1'500, [&simulation, id] { simulation.Submit(id, 16); });
+    }
+    simulation.targets.in_doubt_probability = 0.1;
+    for (const std::int64_t at : {4'000, 9'000, 14'000}) {
+      simulation.time.After(at, [&simulation] { simulation.targets.Reboot("t0", 20); });
+    }
+    simulation.RunFor(20'000);
+    simulation.targets.in_doubt_probability = 0;
+    simulation.RunFor(60'000);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+  }
+}
+
 // Guards against a task that waits for good for a target that restarted and refuses every stop.
 TEST_CASE("a run that may have been taken is given up when all stops are refused") {
   Simulation simulation(1, 2);
