Start no member of a gang after another one of its run has ended

Callers saw nothing by themselves; a target was told a checkpoint that isn't that of the run, and held capacity for a gang that can't become complete.

Cause: a start that is due again was sent whatever had become of the other members, with the checkpoint that the state has at that time. Members that have waited in vain end with a new one.

Change: such a member is stopped instead. While all members run, no end has changed the checkpoint, so all starts of a run carry the same one.

Conclusion: one run of a gang has one checkpoint.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -152,6 +152,8 @@
   this->StopFormerRuns(now, view);
   bool more = !view.former.empty();
   for (auto& [task, run] : view.runs) {
+    // The start may have been due for some time, for example while the target was silent.
+    run.is_obsolete = run.is_obsolete || this->IsGangBroken(task, run);
     if (run.is_obsolete || run.is_migrating) {
       more = true;
       if (run.start_request == StartRequestState::kToSend && !run.is_in_doubt) {
@@ -172,6 +174,15 @@
   return more;
 }
 
+bool RunManager::IsGangBroken(const TaskRef& member, const RunView& run) const {
+  if (run.spec == nullptr || !run.spec->gang) return false;
+  if (run.start_request != StartRequestState::kToSend) return false;
+  const workload::Step* step = this->state.FindStep(member.Step());
+  return step == nullptr || std::ranges::any_of(step->tasks, [&](const Task& task) {
+           return task.phase != TaskPhase::kRunning || task.run != run.run;
+         });
+}
+
 void RunManager::StopRunsOf(const workload::JobId& id) {
   const workload::Job* job = this->state.FindJob(id);
   if (job == nullptr || !workload::IsFinal(job->state)) return;
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -147,6 +147,10 @@
   void SendDueRequests(base::TimePoint now, dispatch::TargetView& view);
   /// Sends the requests that are due at one target; true when more will be due there.
   bool SendRequestsTo(base::TimePoint now, dispatch::TargetView& view);
+  /// True when a member whose start is due has no complete gang any more: another one has ended.
+  /// Its start would wait for the others in vain, and might carry a later checkpoint than theirs.
+  [[nodiscard]] bool IsGangBroken(const workload::TaskRef& member,
+                                  const dispatch::RunView& run) const;
   /// Requests stops for the remaining runs of a job in a final state.
   void StopRunsOf(const workload::JobId& id);
   /// Has a run stopped at its target.
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -476,6 +476,41 @@
   }
 }
 
+workload::JobSpec GangOf(std::uint32_t count) {
+  workload::JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].count = count;
+  spec.steps[0].resources = {4'000, 100, 0};
+  spec.steps[0].gang = true;
+  spec.steps[0].checkpoints = true;
+  return spec;
+}
+
+// Guards against members of one run of a gang that start from different checkpoints: one that had
+// waited for the others in vain had ended with a new checkpoint, and the others still started.
+TEST_CASE("no member starts after another member of its run has ended") {
+  constexpr std::int64_t kStepMs = 20;
+  int incomplete = 0;
+  for (std::int64_t gang_wait_ms = 700; gang_wait_ms <= 3'000; gang_wait_ms += kStepMs) {
+    INFO("members wait " << gang_wait_ms << " ms");
+    Simulation simulation(1, 2);
+    simulation.targets.gang_wait_ms = gang_wait_ms;
+    simulation.RunFor(1'000);
+    simulation.targets.SetIsolated("t1", true);
+    simulation.targets.specs["0000000000000001"] = GangOf(8);
+    simulation.SubmitSpec("0000000000000001", GangOf(8));
+    simulation.jobs = {"0000000000000001"};
+    simulation.RunFor(gang_wait_ms);
+    simulation.targets.SetIsolated("t1", false);
+    simulation.RunFor(20'000);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+    incomplete += simulation.targets.ends_by_kind[workload::RunEnd::kGangIncomplete];
+  }
+  // Otherwise no gang has waited in vain.
+  CHECK(incomplete > 0);
+}
+
 // Guards against a task that waits for good for a target that restarted and refuses every stop.
 TEST_CASE("a run that may have been taken is given up when all stops are refused") {
   Simulation simulation(1, 2);
