Send a silent replica heartbeats instead of the same batch again

Cause: a replica whose log isn't known to agree is sent one batch of up to 256 KB, and each heartbeat allowed another one. The old identity of a VM that lost its disk never responds and has the address of its successor, so 5 MB a second went to the learner there. It followed 1.2 s behind for good, which isn't caught up, and the old identity kept the vote.

Change: only a response ends the wait; heartbeats ask the same without entries. The leader logs the progress of learners once a second, which told this cause from a silent, slow or restoring learner.

--- a/src/libs/consensus/election.cc
+++ b/src/libs/consensus/election.cc
@@ -193,10 +193,7 @@
 void Replica::Private::TickLeader() {
   if (this->now >= this->heartbeat_at) {
     this->heartbeat_at = this->now + this->config.timings.heartbeat_interval;
-    for (auto& [id, peer] : this->progress) {
-      peer.heartbeat_due = true;
-      peer.paused = false;
-    }
+    for (auto& [id, peer] : this->progress) peer.heartbeat_due = true;
   }
   // Check-quorum: a leader without contact to a majority can commit nothing and must not keep
   // callers waiting.
--- a/src/libs/consensus/membership_change.cc
+++ b/src/libs/consensus/membership_change.cc
@@ -153,8 +153,9 @@
   status.configuration = this->Current();
   status.configuration_committed = this->configurations.back().first <= this->hard_state.commit;
   for (const auto& [id, peer] : this->progress) {
-    status.peers.push_back(
-        {id, peer.match, this->IsActive(peer), peer.durable, this->IsCaughtUp(peer)});
+    status.peers.push_back({id, peer.match, this->IsActive(peer), peer.durable,
+                            this->IsCaughtUp(peer), peer.durable_match,
+                            peer.state == internal::ProgressState::kSnapshot});
   }
   return status;
 }
--- a/src/libs/consensus/progress.h
+++ b/src/libs/consensus/progress.h
@@ -14,7 +14,7 @@
 namespace mangoroad::consensus::internal {
 
 enum class ProgressState {
-  kProbe,      ///< One message at a time until the logs are known to agree.
+  kProbe,      ///< One message with entries, until the logs are known to agree.
   kReplicate,  ///< Messages are sent without waiting for responses, up to a limit.
   kSnapshot,   ///< The needed entries were compacted; a snapshot is sent in chunks.
 };
@@ -52,7 +52,8 @@
   std::optional<base::TimePoint> acknowledged_send;
   base::TimePoint last_contact;
   bool heartbeat_due = true;
-  /// In kProbe: a response is awaited.
+  /// In kProbe: entries were sent and a response is awaited. Heartbeats ask the same without
+  /// entries, so that a replica that doesn't respond costs no bandwidth.
   bool paused = false;
   std::size_t inflight_bytes = 0;
 
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -170,6 +170,9 @@
   bool durable = false;
   /// In contact, and its disk follows the log within an election timeout; see Progress.
   bool caught_up = false;
+  /// As `match_index`, on the replica's disk.
+  Index synced_index = 0;
+  bool receives_snapshot = false;
 };
 
 struct Status {
--- a/src/libs/controller/core_node.cc
+++ b/src/libs/controller/core_node.cc
@@ -7,6 +7,7 @@
 #include "controller/delegation.h"
 #include "controller/identity.h"
 #include "controller/join_schedule.h"
+#include "controller/learner_log.h"
 #include "controller/replica_manager.h"
 #include "entry/log_service.h"
 #include "log/log.h"
@@ -71,6 +72,7 @@
   Delegation delegation;
   RunManager run_manager;
   ReplicaManager replica_manager;
+  LearnerLog learner_log;
   JoinSchedule join_schedule;
   std::unique_ptr<net::PeerLinks> links;
   std::unique_ptr<net::HttpServer> relay_server;
@@ -342,6 +344,7 @@
     return;
   }
   if (!this->log_service.MayLead()) return;
+  this->learner_log.LogIfDue(this->loop.Now(), status);
   if (const auto change = this->replica_manager.NextChange(this->loop.Now(), this->self, status)) {
     this->ApplyReplicaChange(*change);
   }
--- a/tests/auto/consensus/tst_replica.cc
+++ b/tests/auto/consensus/tst_replica.cc
@@ -190,6 +190,67 @@
   CHECK(replica.TakeOutput().committed.size() == 1);
 }
 
+// Guards against a leader that sends the same batch of entries to a silent replica with each
+// heartbeat. Where the replica has lost its disk and is back under a new identity, its successor
+// has the same address: on vp-kochi-fleet-large, 5 MB a second kept that one 1.2 s behind for good,
+// so that it never became a voter, and another loss left the core without a majority.
+TEST_CASE("a silent replica is sent one batch, then heartbeats without entries") {
+  Config config;
+  config.self = ReplicaId(1, 'a');
+  config.first_configuration = kThree;
+  Replica replica(config, {}, TimePoint(1s));
+  TimePoint now(1s);
+  const auto step = [&](const ReplicaId& from, MessageBody body) {
+    replica.Step(now, {1, from, "a", std::move(body)});
+  };
+  /// Takes what is to be sent; counts the requests to c and their entries.
+  std::size_t requests = 0;
+  std::size_t entries = 0;
+  Index probed = 0;
+  const auto take_output = [&] {
+    const Output output = replica.TakeOutput();
+    if (output.sync_id != 0) replica.OnSynced(now, output.sync_id);
+    for (const Message& message : output.messages) {
+      const auto* append = std::get_if<AppendRequest>(&message.body);
+      if (message.to != "c" || append == nullptr) continue;
+      requests += 1;
+      entries += append->entries.size();
+      probed = append->previous_index;
+    }
+  };
+  const auto accept_on_b = [&] {
+    AppendResponse response;
+    response.accepted = true;
+    response.durable = true;
+    response.index = replica.GetStatus().last_index;
+    response.sent_at = now.time_since_epoch().count();
+    step("b", response);
+  };
+  for (; replica.GetStatus().role == Role::kFollower; now += 10ms) replica.Tick(now);
+  take_output();
+  step("b", VoteResponse{true, true});
+  take_output();
+  step("b", VoteResponse{false, true});
+  REQUIRE(replica.IsLeader());
+  for (int i = 0; i < 200; ++i, now += 10ms) {
+    replica.Tick(now);
+    REQUIRE(base::Ok(replica.Propose(now, "x")));
+    accept_on_b();
+    take_output();
+  }
+  REQUIRE(replica.IsLeader());
+  CHECK(requests >= 30);
+  CHECK(entries <= 2);
+  // Its response to a heartbeat is enough to send it all entries.
+  AppendResponse response;
+  response.accepted = true;
+  response.index = probed;
+  response.sent_at = now.time_since_epoch().count();
+  step("c", response);
+  take_output();
+  CHECK(entries >= 200);
+}
+
 // Guards against chunks above the frame limit and against proposals without bound.
 TEST_CASE("commands over the limit are refused") {
   Simulation simulation({}, kThree);
