Build the sanitized tests without -Werror

The option that GCC knows is an error for clang-tidy.

Change: the target takes the include folders and definitions of mangoroad_options and not its warnings. All its sources are compiled with the project's warnings in the other targets.

Conclusion: no check is lost.

--- a/cmake/MangoroadTargets.cmake
+++ b/cmake/MangoroadTargets.cmake
@@ -58,10 +58,16 @@
     list(TRANSFORM library_sources PREPEND "${PROJECT_SOURCE_DIR}/src/libs/${library}/")
     list(APPEND sources ${library_sources})
   endforeach()
-  mangoroad_add_program(tst_${name} SOURCES ${sources} LINKS ${ARG_LINKS})
-  # GCC 12 reports false positives of -Wmaybe-uninitialized in sanitized code.
+  # Without mangoroad_options and its -Werror: GCC 12 reports false positives in sanitized code, and all sources are
+  # compiled with the project's warnings elsewhere.
+  add_executable(tst_${name} ${sources})
+  target_include_directories(tst_${name} PRIVATE
+    $<TARGET_PROPERTY:mangoroad_options,INTERFACE_INCLUDE_DIRECTORIES>)
+  target_compile_definitions(tst_${name} PRIVATE
+    $<TARGET_PROPERTY:mangoroad_options,INTERFACE_COMPILE_DEFINITIONS>)
+  target_link_libraries(tst_${name} PRIVATE ${ARG_LINKS})
   target_compile_options(tst_${name} PRIVATE -O1 -g1 -fsanitize=address,undefined
-    -fno-sanitize-recover=undefined -fno-omit-frame-pointer -Wno-error)
+    -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
   target_link_options(tst_${name} PRIVATE -fsanitize=address,undefined)
   add_test(NAME ${name} COMMAND tst_${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
