Count leases that requests for a former incarnation have granted

Cause: a target that is back under its id takes requests for its former incarnation. Change: each incarnation gets a higher fence, so that requests for a former one have no effect once it has carried out its first request. A restarted target is registered after it has responded under such a fence; from its clock then follows the latest deadline that earlier requests can have set. The new command InheritLease keeps that in the replicated state. A record stays until the next incarnation announces itself. The fake targets now cap leases and take requests that outlast a restart.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -31,7 +31,8 @@
   if (this->RecordOf(incarnation) == nullptr) return;
   TargetView& view = this->targets.FindOrCreate(incarnation);
   // It has responded again at its address.
-  view.is_replaced = false;
+  view.replaced_at.reset();
+  this->InheritLease(now, view);
   this->TrackFormerRuns(now, view);
   this->MarkChanged(incarnation.id);
 }
@@ -57,6 +58,18 @@
   }
 }
 
+void RunManager::InheritLease(base::TimePoint now, TargetView& view) const {
+  const std::int64_t deadline_ms = this->state.InheritedDeadlineMs(view.incarnation);
+  if (deadline_ms > 0) view.lease.Inherit(deadline_ms, this->LongestExpiry(now));
+}
+
+std::optional<base::TimePoint> RunManager::ExpiryOf(const TargetView& view) const {
+  // The next incarnation may have taken starts for this one, and gets no requests any more.
+  if (view.replaced_at) return this->LongestExpiry(*view.replaced_at);
+  if (view.unanswered_requests == 0) return std::nullopt;
+  return view.lease.SafeExpiry();
+}
+
 base::TimePoint RunManager::LongestExpiry(base::TimePoint now) const {
   const dispatch::LeaseDurations durations{this->settings.longest_lease,
                                            this->settings.lease.margin};
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -29,15 +29,16 @@
       targets(leader_settings.lease, leader_settings.health),
       planner(workload_state, this->targets, leader_settings.plan) {}
 
-void RunManager::BeginTerm(base::TimePoint now, Fence new_fence) {
+void RunManager::BeginTerm(base::TimePoint now, Fence term) {
   this->EndTerm();
   this->leading = true;
-  this->fence = new_fence;
+  this->fences.BeginTerm(term);
   this->targets.Reset(now);
   this->statistics.Reset();
   for (const auto& [id, record] : this->state.Targets()) {
     TargetView& view = this->targets.FindOrCreate(record.incarnation);
     view.last_contact = now;
+    this->InheritLease(now, view);
     this->AdoptRuns(view);
     this->TrackFormerRuns(now, view);
   }
@@ -121,7 +122,7 @@
 
 void RunManager::SendDueRequests(base::TimePoint now, TargetView& view) {
   this->target_checks += 1;
-  if (!view.is_fenced || view.is_replaced || !view.has_pending_requests) return;
+  if (!view.is_fenced || view.replaced_at || !view.has_pending_requests) return;
   // The runs of a target that has left may outlive their jobs.
   if (this->RecordOf(view.incarnation) == nullptr) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kRequests);
@@ -226,25 +227,26 @@
   request.payload = job->spec.payload;
   request.checkpoint = this->state.CheckpointOf(task);
   request.deadline = *deadline;
-  request.fence = this->fence;
-  const std::uint64_t sent_generation = this->generation;
+  request.fence = view.fence;
   this->calls.Start(this->EndpointOf(*record), request,
-                    [this, target = view.incarnation, task, run_number = run.run, sent_generation](
+                    [this, target = view.incarnation, task, run_number = run.run,
+                     sent_fence = request.fence, sent_generation = this->generation](
                         base::TimePoint received_at, const CallResponse& response) {
                       if (sent_generation != this->generation) return;
-                      this->OnStartResponse(received_at, target, task, run_number, response);
+                      this->OnStartResponse(received_at, target, task, run_number, sent_fence,
+                                            response);
                     });
 }
 
 void RunManager::OnStartResponse(base::TimePoint now, const TargetIncarnation& target,
-                                 const TaskRef& task, std::uint32_t run_number,
+                                 const TaskRef& task, std::uint32_t run_number, Fence sent_fence,
                                  const CallResponse& response) {
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
   log::Info(log::Category::kJobs, "start answered",
             {{"task", workload::ToText(task)},
              {"run", run_number},
              {"target", target.id},
-             {"fence", this->fence},
+             {"fence", sent_fence},
              {"verdict", base::NameOf(kCallStatusNames, response.status)}});
   TargetView* view = this->targets.Find(target.id);
   if (view == nullptr || view->incarnation != target) return;
@@ -283,7 +285,7 @@
       }
       break;
     case CallStatus::kOtherIncarnation:
-      this->OnOtherTarget(target);
+      this->OnOtherTarget(now, target);
       break;
     case CallStatus::kDelegateLost:
       run.is_in_doubt = true;
@@ -292,6 +294,11 @@
       run.start_request = StartRequestState::kToSend;
       run.requested_at = now + this->settings.carry_retry_delay;
       break;
+    case CallStatus::kFenced:
+      this->OnFenced(*view, sent_fence);
+      run.start_request = StartRequestState::kToSend;
+      run.requested_at = now + this->settings.carry_retry_delay;
+      break;
     case CallStatus::kNoResponse:
       run.is_in_doubt = true;
       [[fallthrough]];
@@ -303,7 +310,6 @@
       }
       [[fallthrough]];
     case CallStatus::kDeadlineExceeded:
-    case CallStatus::kFenced:
       run.start_request = StartRequestState::kToSend;
       run.requested_at = now + this->settings.retry_delay;
       break;
@@ -314,34 +320,43 @@
 bool RunManager::SendStop(const TargetView& view, const TaskRef& task, std::uint32_t run) {
   const TargetRecord* record = this->RecordOf(view.incarnation);
   if (record == nullptr || !this->context.MayLead()) return false;
-  this->calls.Stop(this->EndpointOf(*record), {task, run, this->fence},
-                   [this, target = view.incarnation, task, run, sent_generation = this->generation](
-                       base::TimePoint received_at, const CallResponse& response) {
+  this->calls.Stop(this->EndpointOf(*record), {task, run, view.fence},
+                   [this, target = view.incarnation, task, run, sent_fence = view.fence,
+                    sent_generation = this->generation](base::TimePoint received_at,
+                                                        const CallResponse& response) {
                      log::Info(log::Category::kJobs, "stop answered",
                                {{"task", workload::ToText(task)},
                                 {"run", run},
                                 {"target", target.id},
                                 {"verdict", base::NameOf(kCallStatusNames, response.status)}});
                      if (sent_generation != this->generation) return;
-                     TargetView* view_now = this->targets.Find(target.id);
-                     if (view_now == nullptr || view_now->incarnation != target) return;
-                     if (response.clock) view_now->lease.OnClock(received_at, *response.clock);
-                     if (response.status == CallStatus::kDone) {
-                       this->OnFormerRunStopped(received_at, *view_now, task, run);
-                     }
-                     const auto found = view_now->runs.find(task);
-                     if (found == view_now->runs.end() || found->second.run != run) return;
-                     // From now on the target rejects starts of this run, so its list is
-                     // authoritative.
-                     if (response.status == CallStatus::kDone &&
-                         found->second.start_request != StartRequestState::kConfirmed) {
-                       found->second.start_request = StartRequestState::kConfirmed;
-                       found->second.confirmed_at = received_at;
-                     }
+                     this->OnStopResponse(received_at, target, task, run, sent_fence, response);
                    });
   return true;
 }
 
+void RunManager::OnStopResponse(base::TimePoint now, const TargetIncarnation& target,
+                                const TaskRef& task, std::uint32_t run_number, Fence sent_fence,
+                                const CallResponse& response) {
+  TargetView* view = this->targets.Find(target.id);
+  if (view == nullptr || view->incarnation != target) return;
+  if (response.clock) view->lease.OnClock(now, *response.clock);
+  if (response.status == CallStatus::kDone) {
+    this->OnFormerRunStopped(now, *view, task, run_number);
+  }
+  if (response.status == CallStatus::kFenced) this->OnFenced(*view, sent_fence);
+  const auto found = view->runs.find(task);
+  if (found == view->runs.end() || found->second.run != run_number) return;
+  RunView& run = found->second;
+  // A stop that requests with a higher fence have overtaken is sent again.
+  if (response.status == CallStatus::kFenced) run.stop_sent.reset();
+  // From now on the target rejects starts of this run, so its list is authoritative.
+  if (response.status == CallStatus::kDone && run.start_request != StartRequestState::kConfirmed) {
+    run.start_request = StartRequestState::kConfirmed;
+    run.confirmed_at = now;
+  }
+}
+
 bool RunManager::HasUnregisteredRunEnded(base::TimePoint now, const TargetIncarnation& target,
                                          base::TimePoint since) const {
   if (this->replaced.contains(target)) return true;
@@ -353,9 +368,9 @@
 void RunManager::CheckLeases(base::TimePoint now) {
   for (auto& [id, view] : this->targets.All()) {
     if (!view.former.empty()) this->ForgetEndedFormerRuns(view);
-    if (view.runs.empty() || view.unanswered_requests == 0 || now < view.lease.SafeExpiry()) {
-      continue;
-    }
+    if (view.runs.empty()) continue;
+    const std::optional<base::TimePoint> expiry = this->ExpiryOf(view);
+    if (!expiry || now < *expiry) continue;
     for (const auto& [task, run] : view.runs) {
       this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
     }
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -24,6 +24,7 @@
 #include "base/time.h"
 #include "controller/run_statistics.h"
 #include "controller/target_calls.h"
+#include "controller/target_fences.h"
 #include "dispatch/migration.h"
 #include "dispatch/planner.h"
 #include "dispatch/target_tracker.h"
@@ -87,8 +88,8 @@
   RunManager(const workload::WorkloadState& state, TargetCalls& calls, LeaderContext& context,
              RunManagerSettings settings);
 
-  /// Starts a term with `fence`, which is higher than that of every earlier leader.
-  void BeginTerm(base::TimePoint now, Fence fence);
+  /// Starts a term, which is higher than that of every earlier leader.
+  void BeginTerm(base::TimePoint now, Fence term);
   void EndTerm();
   [[nodiscard]] bool IsLeading() const { return this->leading; }
 
@@ -132,10 +133,10 @@
   void SendPoll(base::TimePoint now, dispatch::TargetView& view,
                 const workload::TargetRecord& record);
   void OnPollResponse(base::TimePoint now, const workload::TargetIncarnation& target,
-                      base::TimePoint sent_at, std::uint64_t acknowledged,
+                      base::TimePoint sent_at, const PollRequest& request,
                       const PollResponse& response);
   void ApplyLists(base::TimePoint now, dispatch::TargetView& view, base::TimePoint sent_at,
-                  const dispatch::TargetLists& lists);
+                  Fence sent_fence, const dispatch::TargetLists& lists);
   void ApplyRunning(base::TimePoint now, dispatch::TargetView& view,
                     const dispatch::RunningRow& row);
   /// Requests or a poll may have become due at this target.
@@ -158,7 +159,7 @@
                     const workload::TargetIncarnation& target);
   void SendStart(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task);
   void OnStartResponse(base::TimePoint now, const workload::TargetIncarnation& target,
-                       const workload::TaskRef& task, std::uint32_t run_number,
+                       const workload::TaskRef& task, std::uint32_t run_number, Fence sent_fence,
                        const CallResponse& response);
   struct RankedRun {
     const workload::TaskRef* task = nullptr;
@@ -181,7 +182,12 @@
   void MigrateRuns(base::TimePoint now);
   /// False when the request may not be sent now.
   bool SendStop(const dispatch::TargetView& view, const workload::TaskRef& task, std::uint32_t run);
+  void OnStopResponse(base::TimePoint now, const workload::TargetIncarnation& target,
+                      const workload::TaskRef& task, std::uint32_t run_number, Fence sent_fence,
+                      const CallResponse& response);
   void OnNoResponse(dispatch::TargetView& view);
+  /// The target has seen a higher fence than that of a request.
+  void OnFenced(dispatch::TargetView& view, Fence sent_fence);
   /// The incarnations whose records a registration replaces: under the same id, or at the same
   /// address.
   [[nodiscard]] std::vector<workload::TargetIncarnation> ReplacedBy(
@@ -190,10 +196,14 @@
   void RegisterIfPresent(base::TimePoint now, const Announcement& announcement,
                          std::vector<workload::TargetIncarnation> replaced_targets,
                          const OnAnnounced& done);
+  /// Registers a target of which former incarnations may have been sent requests.
+  void RegisterSuccessor(const Announcement& announcement, dispatch::TargetMilliseconds clock,
+                         const OnAnnounced& done);
   void Register(const Announcement& announcement, const OnAnnounced& done);
   /// Another target has responded at the address: this incarnation and its runs have ended.
-  void OnOtherTarget(const workload::TargetIncarnation& target);
-  void RemoveRecord(const workload::TargetIncarnation& target);
+  void OnOtherTarget(base::TimePoint now, const workload::TargetIncarnation& target);
+  /// Another incarnation has responded. The record stays until that one announces itself.
+  static void OnOtherIncarnation(base::TimePoint now, dispatch::TargetView& view);
   void CheckLeases(base::TimePoint now);
   /// True when a run of an incarnation without a record has certainly ended. `since`: when the
   /// leader noticed that the record is missing.
@@ -201,6 +211,10 @@
                                              const workload::TargetIncarnation& target,
                                              base::TimePoint since) const;
   // former_runs.cc
+  /// Takes over what the replicated state knows of a lease for a former incarnation.
+  void InheritLease(base::TimePoint now, dispatch::TargetView& view) const;
+  /// When no run of a target can go on any more; nothing while its runs are to be kept.
+  [[nodiscard]] std::optional<base::TimePoint> ExpiryOf(const dispatch::TargetView& view) const;
   /// When the longest lease that may have been granted until `now` is over.
   [[nodiscard]] base::TimePoint LongestExpiry(base::TimePoint now) const;
   void OnTargetRegistered(base::TimePoint now, const workload::TargetIncarnation& incarnation);
@@ -232,7 +246,7 @@
   LeaderContext& context;
   RunManagerSettings settings;
   bool leading = false;
-  Fence fence = 0;
+  TargetFences fences;
   /// Incremented per term; responses to requests of an earlier term are ignored.
   std::uint64_t generation = 0;
   dispatch::TargetTracker targets;
--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -141,13 +141,15 @@
   run.is_throttle_in_flight = true;
   const std::int32_t rate_percent = run.wanted_rate_percent;
   this->calls.Throttle(
-      this->EndpointOf(*record), {task, run.run, rate_percent, this->fence},
+      this->EndpointOf(*record), {task, run.run, rate_percent, view.fence},
       [this, target = view.incarnation, task, run_number = run.run, rate_percent,
+       sent_fence = view.fence,
        sent_generation = this->generation](base::TimePoint now, const CallResponse& response) {
         if (sent_generation != this->generation) return;
         TargetView* view_now = this->targets.Find(target.id);
         if (view_now == nullptr || view_now->incarnation != target) return;
         if (response.clock) view_now->lease.OnClock(now, *response.clock);
+        if (response.status == CallStatus::kFenced) this->OnFenced(*view_now, sent_fence);
         const auto found = view_now->runs.find(task);
         if (found == view_now->runs.end() || found->second.run != run_number) return;
         found->second.is_throttle_in_flight = false;
@@ -181,7 +183,9 @@
   std::size_t migrations = 0;
   bool has_begun = false;
   for (auto& [id, view] : this->targets.All()) {
-    if (view.unanswered_requests > 0 || this->RecordOf(view.incarnation) == nullptr) continue;
+    if (view.unanswered_requests > 0 || view.replaced_at ||
+        this->RecordOf(view.incarnation) == nullptr)
+      continue;
     for (auto& [task, run] : view.runs) {
       if (migrations >= this->settings.migration.max_per_round) return;
       const workload::StepSpec* spec = run.spec.get();
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -59,7 +59,7 @@
 
 void RunManager::SendPollIfDue(base::TimePoint now, TargetView& view) {
   const dispatch::PollState& poll = view.poll;
-  if (poll.in_flight || view.is_replaced || now < poll.next_at) return;
+  if (poll.in_flight || view.replaced_at || now < poll.next_at) return;
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kPolls);
   const TargetRecord* record = this->RecordOf(view.incarnation);
   if (record == nullptr) return;
@@ -73,11 +73,13 @@
   if (!this->context.MayLead()) return;
   view.poll.in_flight = true;
   PollRequest request;
-  request.fence = this->fence;
+  if (view.fence == 0) view.fence = this->fences.Raise(view.incarnation.id);
+  request.fence = view.fence;
   request.acknowledged = AcknowledgementDue(view, record);
-  // The lease of a silent target isn't extended, or it would never expire.
+  // The lease of a silent target isn't extended, or it would never expire. Neither is that of one
+  // of which it isn't known that it is this incarnation.
   const std::optional<base::Duration> lease_left = view.lease.Left(now);
-  if (view.unanswered_requests == 0) request.deadline = view.lease.Grant(now);
+  if (view.is_fenced && view.unanswered_requests == 0) request.deadline = view.lease.Grant(now);
   if (request.deadline && lease_left && !view.runs.empty()) {
     this->statistics.OnLeaseRenewed(*lease_left);
   }
@@ -85,17 +87,16 @@
     request.wait = view.is_near_slo ? this->settings.slo_poll_wait : this->settings.poll_wait;
   }
   const std::uint64_t sent_generation = this->generation;
-  this->calls.Poll(
-      this->EndpointOf(record), request,
-      [this, target = view.incarnation, sent_generation, now, acknowledged = request.acknowledged](
-          base::TimePoint received_at, const PollResponse& response) {
-        if (sent_generation != this->generation) return;
-        this->OnPollResponse(received_at, target, now, acknowledged, response);
-      });
+  this->calls.Poll(this->EndpointOf(record), request,
+                   [this, target = view.incarnation, sent_generation, now, request](
+                       base::TimePoint received_at, const PollResponse& response) {
+                     if (sent_generation != this->generation) return;
+                     this->OnPollResponse(received_at, target, now, request, response);
+                   });
 }
 
 void RunManager::OnPollResponse(base::TimePoint now, const TargetIncarnation& target,
-                                base::TimePoint sent_at, std::uint64_t acknowledged,
+                                base::TimePoint sent_at, const PollRequest& request,
                                 const PollResponse& response) {
   const ActivityMeter::Scope measured(this->context.Meter(), Activity::kResponses);
   TargetView* view = this->targets.Find(target.id);
@@ -107,15 +108,15 @@
     case CallStatus::kDone:
       if (response.lists.incarnation != 0 && response.lists.incarnation != target.number) {
         // It may have taken over starts that were sent to this one; see former_runs.cc.
-        this->RemoveRecord(target);
+        OnOtherIncarnation(now, *view);
         break;
       }
-      poll.acknowledged = std::max(poll.acknowledged, acknowledged);
+      poll.acknowledged = std::max(poll.acknowledged, request.acknowledged);
       poll.next_at = view->former.empty() ? now : now + kFormerRunsPollInterval;
-      this->ApplyLists(now, *view, sent_at, response.lists);
+      this->ApplyLists(now, *view, sent_at, request.fence, response.lists);
       break;
     case CallStatus::kOtherIncarnation:
-      this->OnOtherTarget(target);
+      this->OnOtherTarget(now, target);
       break;
     case CallStatus::kNotCarried:
     case CallStatus::kDelegateLost:
@@ -125,7 +126,8 @@
       log::Info(log::Category::kJobs, "look failed",
                 {{"target", target.id},
                  {"verdict", base::NameOf(kCallStatusNames, response.status)},
-                 {"fence", this->fence}});
+                 {"fence", request.fence}});
+      if (response.status == CallStatus::kFenced) this->OnFenced(*view, request.fence);
       this->OnNoResponse(*view);
       poll.next_at =
           now + this->settings.retry_delay * std::min(view->unanswered_requests, kMaxBackoffFactor);
@@ -141,15 +143,30 @@
   }
 }
 
-void RunManager::OnOtherTarget(const TargetIncarnation& target) {
-  this->replaced.insert(target);
-  this->RemoveRecord(target);
+void RunManager::OnFenced(TargetView& view, Fence sent_fence) {
+  // Otherwise requests of this leader itself have overtaken the request.
+  if (sent_fence != view.fence) return;
+  // An announcement of another incarnation was checked, or another replica leads. The lists tell
+  // which incarnation responds.
+  view.fence = this->fences.Raise(view.incarnation.id);
+  view.is_fenced = false;
 }
 
-void RunManager::RemoveRecord(const TargetIncarnation& target) {
+void RunManager::OnOtherIncarnation(base::TimePoint now, TargetView& view) {
+  if (view.replaced_at) return;
+  view.replaced_at = now;
+  log::Warning(log::Category::kJobs, "target has restarted",
+               {{"target", view.incarnation.id},
+                {"birth", view.incarnation.number},
+                {"runs", view.runs.size()}});
+}
+
+void RunManager::OnOtherTarget(base::TimePoint now, const TargetIncarnation& target) {
+  this->replaced.insert(target);
   TargetView* view = this->targets.Find(target.id);
   const bool is_current = view != nullptr && view->incarnation == target;
-  if (is_current && std::exchange(view->is_replaced, true)) return;
+  if (is_current && view->replaced_at) return;
+  if (is_current) view->replaced_at = now;
   log::Warning(log::Category::kJobs, "target was replaced",
                {{"target", target.id}, {"birth", target.number}});
   this->context.Propose(
@@ -158,7 +175,7 @@
         if (applied || sent_generation != this->generation) return;
         // The next response decides again.
         TargetView* view_now = this->targets.Find(target.id);
-        if (view_now != nullptr && view_now->incarnation == target) view_now->is_replaced = false;
+        if (view_now != nullptr && view_now->incarnation == target) view_now->replaced_at.reset();
       });
 }
 
@@ -192,7 +209,7 @@
 }
 
 void RunManager::ApplyLists(base::TimePoint now, TargetView& view, base::TimePoint sent_at,
-                            const dispatch::TargetLists& lists) {
+                            Fence sent_fence, const dispatch::TargetLists& lists) {
   if (view.unanswered_requests >= 2) {
     log::Info(log::Category::kJobs, "target is back",
               {{"target", view.incarnation.id}, {"birth", view.incarnation.number}});
@@ -216,11 +233,11 @@
     this->ends.push_back(
         {row.task, row.run, view.incarnation, row.how, row.checkpoint, row.number});
   }
-  const bool first_contact = !view.is_fenced;
+  const bool first_contact = !view.is_fenced && sent_fence == view.fence;
   // A list by itself only makes changes of rates due, and on first contact what was adopted.
   const bool has_new_rates = this->UpdateThrottling(now, view);
   view.has_pending_requests = view.has_pending_requests || has_new_rates || first_contact;
-  view.is_fenced = true;
+  view.is_fenced = view.is_fenced || first_contact;
   if (lists.is_partial) return;
   this->NoteFormerRuns(view, sent_at, lists);
   const auto by_value = [](const TaskRef* ref) -> const TaskRef& { return *ref; };
@@ -228,7 +245,7 @@
   for (auto& [task, run] : view.runs) {
     if (std::ranges::binary_search(listed, task, {}, by_value)) continue;
     if (first_contact && run.start_request == StartRequestState::kSent) {
-      // A request of an earlier leader no longer has any effect under this fence.
+      // Requests with a lower fence no longer have any effect.
       run.start_request = StartRequestState::kToSend;
     } else if (run.start_request == StartRequestState::kConfirmed && run.confirmed_at < sent_at) {
       this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
--- a/src/libs/controller/target_reports.cc
+++ b/src/libs/controller/target_reports.cc
@@ -54,7 +54,8 @@
     if (IsUnchanged(known->second, announcement)) return done(true);
   }
   std::vector<TargetIncarnation> replaced_targets = this->ReplacedBy(target);
-  if (replaced_targets.empty()) return this->Register(announcement, done);
+  const bool has_retired = this->state.HasRetired(target.incarnation.id);
+  if (replaced_targets.empty() && !has_retired) return this->Register(announcement, done);
   this->RegisterIfPresent(now, announcement, std::move(replaced_targets), done);
 }
 
@@ -72,16 +73,25 @@
                                    const OnAnnounced& done) {
   if (!this->context.MayLead() || !this->calls.IsReady(now)) return done(false);
   PollRequest request;
-  request.fence = this->fence;
+  request.fence = this->fences.Raise(announcement.target.incarnation.id);
   this->calls.Poll(
       this->EndpointOf(announcement.target), request,
       [this, announcement, done, replaced_targets = std::move(replaced_targets),
-       sent_generation = this->generation](base::TimePoint, const PollResponse& response) {
+       sent_fence = request.fence, sent_generation = this->generation](
+          base::TimePoint received_at, const PollResponse& response) {
         if (sent_generation != this->generation) return done(false);
         const TargetIncarnation& announced = announcement.target.incarnation;
         const bool has_responded = response.status == CallStatus::kDone;
         const bool is_present = has_responded && (response.lists.incarnation == 0 ||
                                                   response.lists.incarnation == announced.number);
+        TargetView* view = this->targets.Find(announced.id);
+        if (view != nullptr && has_responded) {
+          if (response.lists.incarnation == view->incarnation.number) {
+            view->fence = std::max(view->fence, sent_fence);
+          } else if (is_present && view->incarnation.number < announced.number) {
+            OnOtherIncarnation(received_at, *view);
+          }
+        }
         if (!is_present) {
           log::Warning(log::Category::kMembership, "announcement not confirmed by its target",
                        {{"target", announced.id},
@@ -94,10 +104,28 @@
         // Runs of an earlier incarnation under the same id may have been taken over.
         std::ranges::copy_if(replaced_targets, std::inserter(this->replaced, this->replaced.end()),
                              [&](const auto& target) { return target.id != announced.id; });
-        this->Register(announcement, done);
+        this->RegisterSuccessor(announcement, response.lists.clock, done);
       });
 }
 
+void RunManager::RegisterSuccessor(const Announcement& announcement,
+                                   dispatch::TargetMilliseconds clock, const OnAnnounced& done) {
+  // The response shows that requests for a former incarnation have no effect from now on, since
+  // their fence is lower. Until then each of them may have extended the lease to its full length.
+  const workload::InheritLease lease{announcement.target.incarnation,
+                                     clock + base::ToMilliseconds(this->settings.longest_lease)};
+  log::Info(log::Category::kMembership, "target inherits a lease",
+            {{"target", lease.incarnation.id},
+             {"birth", lease.incarnation.number},
+             {"clock_ms", clock},
+             {"deadline_ms", lease.deadline_ms}});
+  this->context.Propose(lease, [this, announcement, done, sent_generation = this->generation](
+                                   base::TimePoint, bool applied) {
+    if (!applied || sent_generation != this->generation) return done(false);
+    this->Register(announcement, done);
+  });
+}
+
 void RunManager::Register(const Announcement& announcement, const OnAnnounced& done) {
   const TargetRecord& target = announcement.target;
   const auto on_proposed = [this, announcement, done](base::TimePoint applied_at, bool applied) {
--- a/src/libs/dispatch/lease_clock.cc
+++ b/src/libs/dispatch/lease_clock.cc
@@ -40,15 +40,20 @@
   return deadline;
 }
 
+void LeaseClock::Inherit(TargetMilliseconds deadline, base::TimePoint latest_expiry) {
+  this->inherited_deadline = std::max(this->inherited_deadline, deadline);
+  this->latest_inherited_expiry = std::max(this->latest_inherited_expiry, latest_expiry);
+}
+
 std::optional<base::Duration> LeaseClock::Left(base::TimePoint now) const {
   if (!this->clock || this->granted_deadline == 0) return std::nullopt;
   return std::chrono::milliseconds(this->granted_deadline - this->Estimate(now));
 }
 
 base::TimePoint LeaseClock::SafeExpiry() const {
-  if (!this->clock) return this->inherited_expiry;
-  const std::chrono::milliseconds left(
-      std::max<std::int64_t>(0, this->granted_deadline - *this->clock));
+  if (!this->clock) return std::max(this->inherited_expiry, this->latest_inherited_expiry);
+  const TargetMilliseconds deadline = std::max(this->granted_deadline, this->inherited_deadline);
+  const std::chrono::milliseconds left(std::max<std::int64_t>(0, deadline - *this->clock));
   return std::max(this->inherited_expiry,
                   this->clock_received + WithDrift(left) + this->durations.margin);
 }
--- a/src/libs/dispatch/lease_clock.h
+++ b/src/libs/dispatch/lease_clock.h
@@ -37,6 +37,9 @@
   /// The deadline for a request that is sent now; nothing before the clock is known. It counts as
   /// granted from then on, whether or not the request arrives.
   std::optional<TargetMilliseconds> Grant(base::TimePoint now);
+  /// Requests for a former incarnation may have extended the lease up to `deadline`. Until the
+  /// target's clock is known, `latest_expiry` counts.
+  void Inherit(TargetMilliseconds deadline, base::TimePoint latest_expiry);
   /// Time until the latest granted deadline by the target's clock as far as it is known; negative
   /// when it has passed, nothing before a deadline was granted.
   [[nodiscard]] std::optional<base::Duration> Left(base::TimePoint now) const;
@@ -56,6 +59,9 @@
   TargetMilliseconds prompt_clock = 0;
   base::TimePoint prompt_received;
   TargetMilliseconds granted_deadline = 0;
+  TargetMilliseconds inherited_deadline = 0;
+  /// Counts until the clock is known.
+  base::TimePoint latest_inherited_expiry;
 };
 
 }  // namespace mangoroad::dispatch
--- a/src/libs/dispatch/target_tracker.cc
+++ b/src/libs/dispatch/target_tracker.cc
@@ -68,8 +68,8 @@
 }
 
 bool TargetTracker::IsUsable(const TargetView& view, base::TimePoint now) const {
-  return view.is_fenced && view.unanswered_requests == 0 && now >= view.avoid_until &&
-         now - view.last_contact < this->health.silence_timeout;
+  return view.is_fenced && !view.replaced_at && view.unanswered_requests == 0 &&
+         now >= view.avoid_until && now - view.last_contact < this->health.silence_timeout;
 }
 
 }  // namespace mangoroad::dispatch
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -138,8 +138,12 @@
   /// The lists were read under this term's fence, so no request of an earlier leader can take
   /// effect.
   bool is_fenced = false;
-  /// Another incarnation, or another target, has responded at the address. Nothing more is sent.
-  bool is_replaced = false;
+  /// Since when another incarnation, or another target, is known to respond at the address. Nothing
+  /// more is sent then.
+  std::optional<base::TimePoint> replaced_at;
+  /// Carried by all requests. Raised for each incarnation, so that requests for a former one have
+  /// no effect once it was used.
+  std::uint64_t fence = 0;
   /// Consecutive requests without a response.
   int unanswered_requests = 0;
   /// Consecutive failed runs, of different jobs.
--- a/src/libs/workload/commands.h
+++ b/src/libs/workload/commands.h
@@ -62,6 +62,14 @@
   TargetIncarnation incarnation;
 };
 
+/// Requests for a former incarnation of the target may have extended the lease of this one. Comes
+/// before its registration.
+struct InheritLease {
+  TargetIncarnation incarnation;
+  /// Latest end of that lease, in ms on the clock of the incarnation.
+  std::int64_t deadline_ms = 0;
+};
+
 /// A run whose start the leader is about to request. Ignored unless the task is ready to start
 /// and `run` is higher than its latest run.
 struct Start {
@@ -95,8 +103,8 @@
 };
 
 /// Logs contain the position in this list, so new commands are appended.
-using Command =
-    std::variant<Declare, Submit, Cancel, RegisterTarget, RemoveTarget, RunChanges, RetireTarget>;
+using Command = std::variant<Declare, Submit, Cancel, RegisterTarget, RemoveTarget, RunChanges,
+                             RetireTarget, InheritLease>;
 
 /// Result of WorkloadState::Apply for a command.
 enum class Outcome : std::uint8_t {
--- a/src/libs/workload/workload_state.cc
+++ b/src/libs/workload/workload_state.cc
@@ -16,22 +16,28 @@
   std::vector<TargetRecord> targets;
   std::vector<JobId> finished;
   std::vector<TargetIncarnation> retired;
+  std::vector<InheritLease> inherited_leases;
 };
 
 auto FieldsOf(IsRecord<SnapshotRecord> auto& r) {
-  return std::tie(r.declaration, r.jobs, r.targets, r.finished, r.retired);
+  return std::tie(r.declaration, r.jobs, r.targets, r.finished, r.retired, r.inherited_leases);
 }
 
-/// The same without `retired`, as earlier versions wrote it.
-struct OldSnapshotRecord : SnapshotRecord {};
+// As earlier versions wrote it.
+struct SnapshotWithoutLeases : SnapshotRecord {};
+struct SnapshotWithoutRetired : SnapshotRecord {};
 
-auto FieldsOf(IsRecord<OldSnapshotRecord> auto& r) {
+auto FieldsOf(IsRecord<SnapshotWithoutLeases> auto& r) {
+  return std::tie(r.declaration, r.jobs, r.targets, r.finished, r.retired);
+}
+auto FieldsOf(IsRecord<SnapshotWithoutRetired> auto& r) {
   return std::tie(r.declaration, r.jobs, r.targets, r.finished);
 }
 
 std::optional<SnapshotRecord> DecodeSnapshot(std::string_view snapshot) {
   if (auto record = wire::DecodeRecord<SnapshotRecord>(snapshot)) return record;
-  return wire::DecodeRecord<OldSnapshotRecord>(snapshot);
+  if (auto record = wire::DecodeRecord<SnapshotWithoutLeases>(snapshot)) return record;
+  return wire::DecodeRecord<SnapshotWithoutRetired>(snapshot);
 }
 
 bool HasOccurrencesLeft(const Job& job) {
@@ -112,6 +118,7 @@
   record = added;
   record.acknowledged = acknowledged;
   record.draining = draining;
+  this->ForgetInheritedLease(added.incarnation.id);
   this->NoteChangeOf(added.incarnation.id);
   return Outcome::kApplied;
 }
@@ -122,9 +129,34 @@
     return Outcome::kNotFound;
   }
   this->targets.erase(found);
+  this->ForgetInheritedLease(command.incarnation.id);
+  return Outcome::kApplied;
+}
+
+Outcome WorkloadState::Handle(const InheritLease& command) {
+  InheritLease& kept = this->inherited_leases[command.incarnation.id];
+  if (kept.incarnation.number > command.incarnation.number) return Outcome::kAlreadyThere;
+  const bool is_same = kept.incarnation == command.incarnation;
+  const std::int64_t deadline_ms = is_same ? kept.deadline_ms : 0;
+  kept = {command.incarnation, std::max(deadline_ms, command.deadline_ms)};
   return Outcome::kApplied;
 }
 
+void WorkloadState::ForgetInheritedLease(const std::string& id) {
+  const auto lease = this->inherited_leases.find(id);
+  const auto target = this->targets.find(id);
+  const bool is_needed = lease != this->inherited_leases.end() && target != this->targets.end() &&
+                         lease->second.incarnation.number >= target->second.incarnation.number;
+  if (lease != this->inherited_leases.end() && !is_needed) this->inherited_leases.erase(lease);
+}
+
+std::int64_t WorkloadState::InheritedDeadlineMs(const TargetIncarnation& incarnation) const {
+  const auto lease = this->inherited_leases.find(incarnation.id);
+  const bool match =
+      lease != this->inherited_leases.end() && lease->second.incarnation == incarnation;
+  return match ? lease->second.deadline_ms : 0;
+}
+
 Outcome WorkloadState::Handle(const RetireTarget& command) {
   const Outcome outcome = this->Handle(RemoveTarget{command.incarnation});
   if (this->IsRetired(command.incarnation)) return outcome;
@@ -407,6 +439,7 @@
   for (const auto& [id, target] : this->targets) record.targets.push_back(target);
   record.finished.assign(this->finished.begin(), this->finished.end());
   record.retired.assign(this->retired.begin(), this->retired.end());
+  for (const auto& [id, lease] : this->inherited_leases) record.inherited_leases.push_back(lease);
   return wire::EncodeRecord(record);
 }
 
@@ -426,6 +459,10 @@
   }
   this->finished.assign(record->finished.begin(), record->finished.end());
   this->retired.assign(record->retired.begin(), record->retired.end());
+  this->inherited_leases.clear();
+  for (const InheritLease& lease : record->inherited_leases) {
+    this->inherited_leases.emplace(lease.incarnation.id, lease);
+  }
   this->RebuildIndexes();
   return true;
 }
--- a/src/libs/workload/workload_state.h
+++ b/src/libs/workload/workload_state.h
@@ -73,6 +73,12 @@
   [[nodiscard]] std::size_t JobCount() const { return this->jobs.size(); }
   /// True when the target has taken its leave; see RetireTarget.
   [[nodiscard]] bool IsRetired(const TargetIncarnation& incarnation) const;
+  /// True when an incarnation of this target has taken its leave.
+  [[nodiscard]] bool HasRetired(const std::string& id) const {
+    return this->last_retired.contains(id);
+  }
+  /// See InheritLease; 0: requests for a former incarnation can't have had an effect.
+  [[nodiscard]] std::int64_t InheritedDeadlineMs(const TargetIncarnation& incarnation) const;
 
  private:
   Outcome Handle(const Declare& command);
@@ -81,6 +87,9 @@
   Outcome Handle(const RegisterTarget& command);
   Outcome Handle(const RemoveTarget& command);
   Outcome Handle(const RetireTarget& command);
+  Outcome Handle(const InheritLease& command);
+  /// Drops what an incarnation without a record, or with a newer record, has inherited.
+  void ForgetInheritedLease(const std::string& id);
   Outcome Handle(const RunChanges& command);
   void ApplyStart(const Start& start);
   void ApplyEnd(const End& end, std::int64_t at_ms);
@@ -104,6 +113,7 @@
   std::map<std::string, TargetRecord> targets;
   std::deque<JobId> finished;             ///< in the order in which they became final
   std::deque<TargetIncarnation> retired;  ///< in the order in which they left
+  std::map<std::string, InheritLease> inherited_leases;
 
   // Indexes derived from the members above; not in snapshots.
   std::unordered_map<std::string, IncarnationNumber> last_retired;
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -7,6 +7,8 @@
 
 constexpr std::int64_t kOneWayMs = 5;
 constexpr std::int64_t kTimeoutMs = 700;
+/// Interval at which a connection to a target that is down is attempted.
+constexpr std::int64_t kConnectMs = 20;
 /// Until a target notices that another member of a gang has ended.
 constexpr std::int64_t kGangNoticeMs = 20;
 constexpr std::int64_t kStallCheckMs = 500;
@@ -112,6 +114,7 @@
 }
 
 void FakeTargets::Extend(FakeTarget& target, dispatch::TargetMilliseconds deadline) {
+  deadline = std::min(deadline, this->ClockOf(target) + this->longest_lease_ms);
   if (deadline <= target.lease_until) return;
   target.lease_until = deadline;
   const std::uint64_t generation = ++target.lease_generation;
@@ -352,20 +355,29 @@
     return;
   }
   this->time.After(kOneWayMs, [this, to, handler, on_response] {
-    FakeTarget* target = this->FindReachable(to);
-    if (target == nullptr) {
-      this->time.After(kTimeoutMs, [this, on_response] { on_response(this->time.Now(), {}); });
-      return;
-    }
-    // The platform's requests name the target, not its incarnation.
-    const CallResponse response = target->identity.id == to.target.id
-                                      ? handler(*target)
-                                      : CallResponse{CallStatus::kOtherIncarnation, {}};
-    this->time.After(kOneWayMs,
-                     [this, on_response, response] { on_response(this->time.Now(), response); });
+    this->Arrive(to, handler, on_response, kTimeoutMs);
   });
 }
 
+void FakeTargets::Arrive(const TargetEndpoint& to, const Handler& handler,
+                         const OnResponse& on_response, std::int64_t time_left_ms) {
+  FakeTarget* target = this->FindReachable(to);
+  if (target == nullptr) {
+    if (time_left_ms <= 0) return on_response(this->time.Now(), {});
+    // The connection succeeds as soon as another incarnation accepts it.
+    const std::int64_t wait_ms = std::min(time_left_ms, kConnectMs);
+    return this->time.After(wait_ms, [this, to, handler, on_response, time_left_ms, wait_ms] {
+      this->Arrive(to, handler, on_response, time_left_ms - wait_ms);
+    });
+  }
+  // The platform's requests name the target, not its incarnation.
+  const CallResponse response = target->identity.id == to.target.id
+                                    ? handler(*target)
+                                    : CallResponse{CallStatus::kOtherIncarnation, {}};
+  this->time.After(kOneWayMs,
+                   [this, on_response, response] { on_response(this->time.Now(), response); });
+}
+
 void FakeTargets::Start(const TargetEndpoint& to, const StartRequest& request,
                         OnResponse on_response) {
   this->Deliver(
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -113,6 +113,8 @@
   /// Duration of a run in ms, and the probability that a run fails.
   std::int64_t run_ms = 400;
   double failure_probability = 0;
+  /// Longest lease that a target grants, in ms on its clock.
+  std::int64_t longest_lease_ms = 10'000;
   /// How long a member waits for the others of its gang, in ms.
   std::int64_t gang_wait_ms = 3'000;
   /// Time that a run takes to stop, in ms.
@@ -134,6 +136,9 @@
  private:
   using Handler = std::function<CallResponse(FakeTarget&)>;
   void Deliver(const TargetEndpoint& to, const Handler& handler, const OnResponse& on_response);
+  /// Delivers a request that has arrived, or keeps it for the next incarnation while there is none.
+  void Arrive(const TargetEndpoint& to, const Handler& handler, const OnResponse& on_response,
+              std::int64_t time_left_ms);
   [[nodiscard]] std::int32_t ProgressOf(const FakeTarget& target, const FakeRun& run) const;
   FakeTarget* FindReachable(const TargetEndpoint& to);
   [[nodiscard]] dispatch::TargetMilliseconds ClockOf(const FakeTarget& target) const;
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -432,9 +432,9 @@
   }
 }
 
-// Guards against a leader that asks a replaced target again at once, and has its record removed
-// anew with each response, until the first removal is committed.
-TEST_CASE("a target that was replaced is left alone until its record is removed") {
+// Guards against a leader that asks a replaced target again at once, and notes its restart
+// anew with each response, until the next incarnation is registered.
+TEST_CASE("a target that has restarted is left alone until it announces itself") {
   Simulation simulation(1, 2);
   simulation.targets.run_ms = 60'000;
   simulation.RunFor(1'000);
@@ -477,6 +477,33 @@
   }
 }
 
+// Guards against runs that are given up while they go on (issue 40, TWICE): requests that are meant
+// for the former incarnation of a target extend the lease of the next one beyond its own grants.
+TEST_CASE("a restarted target's runs are given up only after leases for its former incarnation") {
+  for (const bool new_leader : {false, true}) {
+    for (std::int64_t isolate_after_ms = 1'600; isolate_after_ms <= 3'600; isolate_after_ms += 60) {
+      INFO("isolated after " << isolate_after_ms << " ms, new leader: " << new_leader);
+      Simulation simulation(1, 4);
+      simulation.targets.run_ms = 9'000;
+      simulation.RunFor(15'000);
+      // The start requests are on their way while the target restarts.
+      simulation.Submit("0000000000000001", 8);
+      simulation.RunFor(20);
+      simulation.targets.Reboot("t0", 600);
+      simulation.Submit("0000000000000002", 8);
+      simulation.RunFor(isolate_after_ms);
+      simulation.targets.SetIsolated("t0", true);
+      if (new_leader) simulation.ElectLeader();
+      simulation.RunFor(12'000);
+      simulation.targets.SetIsolated("t0", false);
+      simulation.jobs = {"0000000000000001", "0000000000000002"};
+      simulation.RunFor(60'000);
+      for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+      CHECK(simulation.AllComplete());
+    }
+  }
+}
+
 workload::JobSpec GangOf(std::uint32_t count) {
   workload::JobSpec spec;
   spec.steps.resize(1);
--- a/tests/auto/dispatch/tst_lease_clock.cc
+++ b/tests/auto/dispatch/tst_lease_clock.cc
@@ -41,6 +41,23 @@
   CHECK(known.SafeExpiry() >= At(7'000) + durations.grant + durations.margin);
 }
 
+// Guards against runs that are given up while a lease for a former incarnation goes on.
+TEST_CASE("a lease lasts as long as one that requests for a former incarnation may have granted") {
+  LeaseClock lease({}, At(9'000));
+  lease.Inherit(15'000, At(19'000));
+  CHECK(lease.SafeExpiry() >= At(19'000));
+  lease.OnClock(At(10'000), SlowClock(10'000));
+  lease.Grant(At(10'000));
+  std::int64_t expires_at = 10'000;
+  while (SlowClock(expires_at) < 15'000) ++expires_at;
+  CHECK(lease.SafeExpiry() > At(expires_at));
+  CHECK(lease.SafeExpiry() < At(expires_at) + milliseconds(1'000));
+  // Later grants count as usual.
+  lease.OnClock(At(30'000), SlowClock(30'000));
+  lease.Grant(At(30'000));
+  CHECK(lease.SafeExpiry() < At(35'000));
+}
+
 // Guards against a deadline computed without the target's clock, which the target would refuse or
 // which would last too long.
 TEST_CASE("nothing is granted before the target's clock is known") {
--- a/tests/auto/workload/tst_workload_state.cc
+++ b/tests/auto/workload/tst_workload_state.cc
@@ -412,11 +412,42 @@
 }
 
 // Guards against a replica that doesn't start because an earlier version wrote its snapshot.
-TEST_CASE("a snapshot without targets that have left can be read") {
-  // An empty declaration, and no jobs, targets and finished jobs.
+TEST_CASE("snapshots of earlier versions can be read") {
+  // An empty declaration, and no jobs, targets and finished jobs; then no targets that have left.
   const std::string old("\x94\x94\x00\x90\x90\xa0\x90\x90\x90", 9);
+  const std::string later("\x95\x94\x00\x90\x90\xa0\x90\x90\x90\x90", 10);
+  for (const std::string& snapshot : {old, later}) {
+    WorkloadState state;
+    CHECK(state.Restore(snapshot));
+  }
+}
+
+// Guards against a later leader that doesn't know of a lease for a former incarnation.
+TEST_CASE("an inherited lease is kept as long as its incarnation is registered") {
+  TargetRecord target;
+  target.incarnation = {"t", 101};
   WorkloadState state;
-  CHECK(state.Restore(old));
+  state.Apply(RegisterTarget{{{"t", 100}}});
+  CHECK(state.Apply(InheritLease{target.incarnation, 12'000}) == Outcome::kApplied);
+  state.Apply(RegisterTarget{target});
+  CHECK(state.Apply(InheritLease{{"t", 100}, 99'000}) == Outcome::kAlreadyThere);
+  state.Apply(InheritLease{target.incarnation, 11'000});
+  WorkloadState restarted;
+  REQUIRE(restarted.Restore(state.Snapshot()));
+  for (WorkloadState* replica : {&state, &restarted}) {
+    CHECK(replica->InheritedDeadlineMs(target.incarnation) == 12'000);
+    CHECK(replica->InheritedDeadlineMs({"t", 100}) == 0);
+    target.incarnation.number = 102;
+    replica->Apply(RegisterTarget{target});
+    CHECK(replica->InheritedDeadlineMs({"t", 101}) == 0);
+    target.incarnation.number = 101;
+  }
+  WorkloadState removed;
+  removed.Apply(InheritLease{target.incarnation, 12'000});
+  removed.Apply(RegisterTarget{target});
+  removed.Apply(RetireTarget{target.incarnation});
+  CHECK(removed.InheritedDeadlineMs(target.incarnation) == 0);
+  CHECK(removed.HasRetired("t"));
 }
 
 }  // namespace
