Compare the lists of a target by run, not by task

Callers would see a job that never ends: a task is committed to a target, never started there and never planned again. Cause: a new leader adopts the runs of a target and learns from its lists which starts were carried out. It looked for the task only, so that a listed end of an earlier run counted as the present one. Change: task and run are compared.

--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -1,6 +1,7 @@
 // Polls of targets: leases, lists of running and ended runs.
 #include <algorithm>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,9 @@
 /// Interval of polls while runs of a former incarnation are to be accounted for.
 constexpr base::Duration kFormerRunsPollInterval = std::chrono::milliseconds(20);
 
+/// The end of an earlier run of a task may still be listed while a later one is due.
+using ListedRun = std::pair<const TaskRef*, std::uint32_t>;
+
 /// The number of the last end to acknowledge, 0 for none. The next incarnation of a target numbers
 /// its ends anew and forgets those that a request for the former one acknowledges. So one that was
 /// confirmed isn't repeated, and none goes to a target of which it isn't known that it still is the
@@ -217,17 +221,17 @@
   view.unanswered_requests = 0;
   view.last_contact = now;
   view.lease.OnClock(now, lists.clock);
-  std::vector<const TaskRef*> listed;
+  std::vector<ListedRun> listed;
   listed.reserve(lists.running.size() + lists.ends.size());
   for (const dispatch::RunningRow& row : lists.running) {
-    listed.push_back(&row.task);
+    listed.emplace_back(&row.task, row.run);
     this->ApplyRunning(now, view, row);
   }
   dispatch::PollState& poll = view.poll;
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const std::uint64_t acknowledged = record == nullptr ? 0 : record->acknowledged;
   for (const dispatch::EndRow& row : lists.ends) {
-    listed.push_back(&row.task);
+    listed.emplace_back(&row.task, row.run);
     if (row.number <= std::max(poll.listed, acknowledged)) continue;
     poll.listed = row.number;
     this->ends.push_back(
@@ -240,10 +244,10 @@
   view.is_fenced = view.is_fenced || first_contact;
   if (lists.is_partial) return;
   this->NoteFormerRuns(view, sent_at, lists);
-  const auto by_value = [](const TaskRef* ref) -> const TaskRef& { return *ref; };
+  const auto by_value = [](const ListedRun& row) { return std::tie(*row.first, row.second); };
   std::ranges::sort(listed, {}, by_value);
   for (auto& [task, run] : view.runs) {
-    if (std::ranges::binary_search(listed, task, {}, by_value)) continue;
+    if (std::ranges::binary_search(listed, std::tie(task, run.run), {}, by_value)) continue;
     if (first_contact && run.start_request == StartRequestState::kSent) {
       // Requests with a lower fence no longer have any effect.
       run.start_request = StartRequestState::kToSend;
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -504,6 +504,33 @@
   }
 }
 
+// Guards against a start that is never sent: a new leader found the end of the task's earlier run
+// in the target's lists and took the present one for listed.
+TEST_CASE(
+    "a start that an earlier leader didn't send is made up for while an older end is listed") {
+  for (std::int64_t isolate_after_ms = 1'400; isolate_after_ms <= 1'700; isolate_after_ms += 1) {
+    INFO("isolated after " << isolate_after_ms << " ms");
+    Simulation simulation(1, 1);
+    simulation.targets.run_ms = 6'000;
+    simulation.RunFor(1'000);
+    simulation.Submit("0000000000000001", 1);
+    simulation.RunFor(500);
+    simulation.targets.SetIsolated("t0", true);
+    simulation.RunFor(6'000);
+    simulation.targets.SetIsolated("t0", false);
+    simulation.RunFor(isolate_after_ms);
+    simulation.targets.SetIsolated("t0", true);
+    simulation.RunFor(80);
+    simulation.ElectLeader();
+    simulation.RunFor(200);
+    simulation.targets.SetIsolated("t0", false);
+    simulation.jobs = {"0000000000000001"};
+    simulation.RunFor(20'000);
+    CHECK(simulation.targets.violations.empty());
+    CHECK(simulation.AllComplete());
+  }
+}
+
 workload::JobSpec GangOf(std::uint32_t count) {
   workload::JobSpec spec;
   spec.steps.resize(1);
