Keep a target from forgetting ends for its former incarnation

Cause: a start and an acknowledgement for the former incarnation of a target both reach the next one; the run ends, and the acknowledgement, by numbers that began anew, makes the target forget that end unread. Change: an acknowledgement waits until all starts were answered, and a start raises the fence above that of an acknowledgement on its way. The target is polled without it every 50 ms meanwhile, and after 200 ms it goes before further starts. Together with the fence of each incarnation no order of arrival does harm.

--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -172,8 +172,8 @@
       const bool is_given_up = this->concluded.contains({task, run.run});
       // A silent target may have restarted, and its next incarnation would take the start. The
       // lists tell which one responds.
-      const bool is_silent = view.unanswered_requests > 0;
-      if (now >= run.requested_at && !is_given_up && !is_silent) this->SendStart(now, view, task);
+      const bool must_wait = view.unanswered_requests > 0 || IsAcknowledgementOverdue(now, view);
+      if (now >= run.requested_at && !is_given_up && !must_wait) this->SendStart(now, view, task);
       more = more || run.start_request == StartRequestState::kToSend;
     }
   }
@@ -228,6 +228,10 @@
   if (record == nullptr || job == nullptr || !this->context.MayLead()) return;
   const auto deadline = view.lease.Grant(now);
   if (!deadline) return;
+  // An acknowledgement on its way has no effect after this start; see AcknowledgementDue.
+  if (std::exchange(view.poll.is_acknowledging, false)) {
+    view.fence = this->fences.Raise(view.incarnation.id);
+  }
   RunView& run = view.runs.at(task);
   run.start_request = StartRequestState::kSent;
   run.requested_at = now;
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -139,6 +139,11 @@
                  const workload::TargetRecord& record) const;
   /// Sends a poll to a target when one is due.
   void SendPollIfDue(base::TimePoint now, dispatch::TargetView& view);
+  /// True while a poll waits for the responses to starts; see AcknowledgementDue.
+  static bool WaitsForStarts(base::TimePoint now, dispatch::TargetView& view,
+                             const workload::TargetRecord& record);
+  [[nodiscard]] static bool IsAcknowledgementOverdue(base::TimePoint now,
+                                                     const dispatch::TargetView& view);
   void SendPoll(base::TimePoint now, dispatch::TargetView& view,
                 const workload::TargetRecord& record);
   void OnPollResponse(base::TimePoint now, const workload::TargetIncarnation& target,
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -33,13 +33,31 @@
 /// The end of an earlier run of a task may still be listed while a later one is due.
 using ListedRun = std::pair<const TaskRef*, std::uint32_t>;
 
+/// A target is polled without an acknowledgement that waits for the responses to starts this often,
+/// so that new ends are noticed; it responds at once, since it lists ends.
+constexpr base::Duration kWithheldPollInterval = std::chrono::milliseconds(50);
+
+/// An acknowledgement that has waited this long goes before further starts.
+constexpr base::Duration kMaxWithheld = std::chrono::milliseconds(200);
+
+/// True while a start may be on its way.
+bool HasUnansweredStart(const TargetView& view) {
+  return std::ranges::any_of(view.runs, [](const auto& entry) {
+    const RunView& run = entry.second;
+    if (run.start_request == StartRequestState::kConfirmed) return false;
+    return run.start_request == StartRequestState::kSent || run.is_in_doubt;
+  });
+}
+
 /// The number of the last end to acknowledge, 0 for none. The next incarnation of a target numbers
 /// its ends anew and forgets those that a request for the former one acknowledges. So one that was
 /// confirmed isn't repeated, and none goes to a target of which it isn't known that it still is the
-/// same.
+/// same, or whose next incarnation may take a start and end the run before the request arrives.
 std::uint64_t AcknowledgementDue(const TargetView& view, const TargetRecord& record) {
   const bool is_confirmed = view.poll.acknowledged >= record.acknowledged;
-  return view.is_fenced && view.unanswered_requests == 0 && !is_confirmed ? record.acknowledged : 0;
+  const bool may_send =
+      view.is_fenced && view.unanswered_requests == 0 && !HasUnansweredStart(view);
+  return may_send && !is_confirmed ? record.acknowledged : 0;
 }
 
 void NoteProgress(base::TimePoint now, RunView& run, const dispatch::RunningRow& row) {
@@ -70,16 +88,39 @@
   // Listed ends are committed and acknowledged first, otherwise the target would respond at once.
   const bool awaits_commit = poll.listed > record->acknowledged;
   if (awaits_commit || !this->NeedsPoll(now, view, *record)) return;
+  if (WaitsForStarts(now, view, *record)) return;
   this->SendPoll(now, view, *record);
 }
 
+bool RunManager::WaitsForStarts(base::TimePoint now, TargetView& view, const TargetRecord& record) {
+  dispatch::PollState& poll = view.poll;
+  const bool is_due = view.is_fenced && poll.acknowledged < record.acknowledged;
+  if (!is_due || !HasUnansweredStart(view)) {
+    poll.withheld_since.reset();
+    return false;
+  }
+  if (!poll.withheld_since) {
+    poll.withheld_since = now;
+    poll.poll_without_at = now + kWithheldPollInterval;
+  }
+  if (now < poll.poll_without_at) return true;
+  poll.poll_without_at = now + kWithheldPollInterval;
+  return false;
+}
+
+bool RunManager::IsAcknowledgementOverdue(base::TimePoint now, const TargetView& view) {
+  return view.poll.withheld_since && now - *view.poll.withheld_since > kMaxWithheld;
+}
+
 void RunManager::SendPoll(base::TimePoint now, TargetView& view, const TargetRecord& record) {
   if (!this->context.MayLead()) return;
-  view.poll.in_flight = true;
+  dispatch::PollState& poll = view.poll;
+  poll.in_flight = true;
   PollRequest request;
   if (view.fence == 0) view.fence = this->fences.Raise(view.incarnation.id);
   request.fence = view.fence;
   request.acknowledged = AcknowledgementDue(view, record);
+  poll.is_acknowledging = poll.is_acknowledging || request.acknowledged > 0;
   // The lease of a silent target isn't extended, or it would never expire. Neither is that of one
   // of which it isn't known that it is this incarnation.
   const std::optional<base::Duration> lease_left = view.lease.Left(now);
@@ -116,6 +157,7 @@
         break;
       }
       poll.acknowledged = std::max(poll.acknowledged, request.acknowledged);
+      if (request.acknowledged > 0) poll.is_acknowledging = false;
       poll.next_at = view->former.empty() ? now : now + kFormerRunsPollInterval;
       this->ApplyLists(now, *view, sent_at, request.fence, response.lists);
       break;
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -125,7 +125,13 @@
   base::TimePoint next_at;
   std::uint64_t listed = 0;        ///< highest number of an ended run seen in a list
   std::uint64_t acknowledged = 0;  ///< highest number acknowledged to the target
-  std::uint64_t sequence = 0;      ///< of the last announcement
+  /// An acknowledgement may be on its way under the present fence.
+  bool is_acknowledging = false;
+  /// Since when an acknowledgement waits for the responses to starts, and when the target is polled
+  /// without it.
+  std::optional<base::TimePoint> withheld_since;
+  base::TimePoint poll_without_at;
+  std::uint64_t sequence = 0;  ///< of the last announcement
 };
 
 struct TargetView {
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -450,6 +450,50 @@
   CHECK(simulation.targets.polls - polls <= 10);
 }
 
+// Guards against an end that is forgotten unread: a start and an acknowledgement for the former
+// incarnation both reach the next one, the latter when the run is done.
+TEST_CASE("a target isn't sent an acknowledgement and a start that it could mistake for its own") {
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    INFO("seed " << seed);
+    Simulation simulation(seed, 2);
+    simulation.targets.run_ms = 40;
+    simulation.RunFor(1'000);
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = "00000000000000" + std::to_string(10 + i);
+      simulation.jobs.push_back(id);
+      simulation.time.After(std::int64_t{50} * i, [&simulation, id] { simulation.Submit(id, 4); });
+    }
+    for (const std::int64_t at : {500, 1'400}) {
+      simulation.time.After(at + static_cast<std::int64_t>(seed),
+                            [&simulation] { simulation.targets.Reboot("t0", 100); });
+    }
+    simulation.RunFor(20'000);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+  }
+}
+
+// Guards against ends that are never acknowledged, and so repeated in each response, at a target
+// that always has a start on its way.
+TEST_CASE("ends are acknowledged under a steady stream of starts") {
+  Simulation simulation(1, 1);
+  simulation.targets.run_ms = 60;
+  simulation.RunFor(1'000);
+  std::uint64_t most = 0;
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "0000000000000" + std::to_string(100 + i);
+    simulation.jobs.push_back(id);
+    simulation.time.After(std::int64_t{9} * i, [&simulation, id] { simulation.Submit(id, 1); });
+    simulation.time.After(std::int64_t{9} * i, [&simulation, &most] {
+      most = std::max<std::uint64_t>(most, simulation.targets.All().at("t0").ends.size());
+    });
+  }
+  simulation.RunFor(20'000);
+  CHECK(most < 100);
+  CHECK(simulation.AllComplete());
+  CHECK(simulation.targets.violations.empty());
+}
+
 // Guards against requests to a former incarnation that the next one carries out seconds later: an
 // acknowledgement made it forget its own ends, and tasks that were done ran again.
 TEST_CASE("late requests to a former incarnation have no effect on the next one") {
