--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -158,16 +158,32 @@
   return now >= this->LongestExpiry(since);
 }
 
+void RunManager::GiveUpRuns(base::TimePoint now, const TargetView& view) {
+  std::size_t given_up = 0;
+  std::size_t held = 0;
+  for (const auto& [task, run] : view.runs) {
+    const bool is_held = now < run.doubt_until;
+    held += is_held ? 1 : 0;
+    if (is_held || this->concluded.contains({task, run.run})) continue;
+    given_up += 1;
+    this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
+  }
+  if (given_up == 0) return;
+  log::Warning(log::Category::kJobs, "leases expired",
+               {{"target", view.incarnation.id},
+                {"birth", view.incarnation.number},
+                {"runs", given_up},
+                {"held", held},
+                {"inherited_deadline_ms", view.lease.InheritedDeadline()}});
+}
+
 void RunManager::CheckLeases(base::TimePoint now) {
   for (auto& [id, view] : this->targets.All()) {
     if (!view.former.empty()) this->ForgetEndedFormerRuns(view);
     if (view.runs.empty()) continue;
     const std::optional<base::TimePoint> expiry = this->ExpiryOf(view);
     if (!expiry || now < *expiry) continue;
-    for (const auto& [task, run] : view.runs) {
-      if (now < run.doubt_until) continue;
-      this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
-    }
+    this->GiveUpRuns(now, view);
   }
   // Both are in the order of names, so no target has to be looked up.
   auto record = this->state.Targets().begin();
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -226,6 +226,8 @@
   /// Another incarnation has responded. The record stays until that one announces itself.
   static void OnOtherIncarnation(base::TimePoint now, dispatch::TargetView& view);
   void CheckLeases(base::TimePoint now);
+  /// The leases of the target have expired. Runs that another incarnation may hold wait on.
+  void GiveUpRuns(base::TimePoint now, const dispatch::TargetView& view);
   /// True when a run of an incarnation without a record has certainly ended. `since`: when the
   /// leader noticed that the record is missing.
   [[nodiscard]] bool HasUnregisteredRunEnded(base::TimePoint now,
--- a/src/libs/dispatch/lease_clock.h
+++ b/src/libs/dispatch/lease_clock.h
@@ -43,6 +43,7 @@
   /// Requests for a former incarnation may have extended the lease up to `deadline`. Until the
   /// target's clock is known, `latest_expiry` counts.
   void Inherit(TargetMilliseconds deadline, base::TimePoint latest_expiry);
+  [[nodiscard]] TargetMilliseconds InheritedDeadline() const { return this->inherited_deadline; }
   /// Time until the latest granted deadline by the target's clock as far as it is known; negative
   /// when it has passed, nothing before a deadline was granted.
   [[nodiscard]] std::optional<base::Duration> Left(base::TimePoint now) const;
