Repeat starts of unknown outcome before overdue acknowledgements

Callers would see work wait up to 5 s for one target. Cause: an overdue acknowledgement goes before further starts, and waits for all starts to be answered; one of unknown outcome is answered only when it is repeated, which was held back, too. Also, the response to a start that others had overtaken could be taken for that of another incarnation, since the estimate of the clock took the clock for slow in both directions. Change: a repeated start isn't held back; the least plausible clock of an earlier moment is derived from a clock of any speed.

--- a/src/libs/controller/run_requests.cc
+++ b/src/libs/controller/run_requests.cc
@@ -69,7 +69,9 @@
       const bool is_given_up = this->concluded.contains({task, run.run});
       // A silent target may have restarted, and its next incarnation would take the start. The
       // lists tell which one responds.
-      const bool must_wait = view.unanswered_requests > 0 || IsAcknowledgementOverdue(now, view);
+      // A repeated start is what such an acknowledgement waits for.
+      const bool must_wait =
+          view.unanswered_requests > 0 || (!run.is_in_doubt && IsAcknowledgementOverdue(now, view));
       if (now >= run.requested_at && !is_given_up && !must_wait) this->SendStart(now, view, task);
       more = more || run.start_request == StartRequestState::kToSend;
     }
--- a/src/libs/dispatch/lease_clock.cc
+++ b/src/libs/dispatch/lease_clock.cc
@@ -8,6 +8,9 @@
 /// The platform lets a target's clock run up to 2% slow; 1 part in 40 covers it with rounding.
 constexpr int kDriftDivisor = 40;
 
+/// Target clocks are read in whole milliseconds.
+constexpr base::Duration kResolution = std::chrono::milliseconds(2);
+
 base::Duration WithDrift(base::Duration duration) { return duration + duration / kDriftDivisor; }
 
 }  // namespace
@@ -28,7 +31,11 @@
 }
 
 bool LeaseClock::IsPlausible(base::TimePoint sent, TargetMilliseconds shown) const {
-  return !this->clock || shown >= this->Estimate(sent);
+  if (!this->clock) return true;
+  // A response that was overtaken was shown before the prompt value, by a clock of any speed.
+  const base::Duration elapsed = sent - this->prompt_received;
+  const base::Duration least = elapsed - std::chrono::abs(elapsed) / kDriftDivisor - kResolution;
+  return shown >= this->prompt_clock + base::ToMilliseconds(least);
 }
 
 TargetMilliseconds LeaseClock::Estimate(base::TimePoint now) const {
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -334,6 +334,30 @@
   return spec;
 }
 
+// Guards against a target that gets no starts for seconds: an acknowledgement that goes before them
+// waits for a start of unknown outcome, which has to be repeated.
+TEST_CASE("a start of unknown outcome doesn't hold up its target") {
+  Simulation simulation(1, 1);
+  simulation.targets.run_ms = 60;
+  simulation.RunFor(1'000);
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = "0000000000000" + std::to_string(100 + i);
+    simulation.jobs.push_back(id);
+    simulation.time.After(std::int64_t{20} * i, [&simulation, id] { simulation.Submit(id, 1); });
+  }
+  simulation.targets.in_doubt_probability = 0.02;
+  std::int64_t longest_pause_ms = 0;
+  int last_starts = 0;
+  std::int64_t pause_ms = 0;
+  for (int i = 0; i < 600; ++i) {
+    simulation.RunFor(10);
+    pause_ms = simulation.targets.starts == last_starts ? pause_ms + 10 : 0;
+    longest_pause_ms = std::max(longest_pause_ms, pause_ms);
+    last_starts = simulation.targets.starts;
+  }
+  CHECK(longest_pause_ms < 2'500);
+}
+
 // Guards against members of one run of a gang that start from different checkpoints: one that had
 // waited for the others in vain had ended with a new checkpoint, and the others still started.
 TEST_CASE("no member starts after another member of its run has ended") {
--- a/tests/auto/dispatch/tst_lease_clock.cc
+++ b/tests/auto/dispatch/tst_lease_clock.cc
@@ -58,6 +58,19 @@
   CHECK(lease.SafeExpiry() < At(35'000));
 }
 
+// Guards against a response of the next incarnation that is taken for one of the present one, and
+// against the opposite when responses overtake each other.
+TEST_CASE("a clock that has started anew is told from a response that was overtaken") {
+  LeaseClock lease({}, At(0));
+  CHECK(lease.IsPlausible(At(10'000), 3));
+  lease.OnClock(At(10'000), 5'000);
+  CHECK(!lease.IsPlausible(At(10'100), 40));
+  CHECK(lease.IsPlausible(At(12'000), 5'000 + 2'000 * 98 / 100));
+  // Sent 3 s before the latest value was read, to a clock of the usual speed.
+  CHECK(lease.IsPlausible(At(7'000), 2'000));
+  CHECK(!lease.IsPlausible(At(7'000), 1'800));
+}
+
 // Guards against a deadline computed without the target's clock, which the target would refuse or
 // which would last too long.
 TEST_CASE("nothing is granted before the target's clock is known") {
