Don't send starts to a target that is draining

Cause: a committed start is sent without another look at the drain of its target. Change: a start that is still to be sent to a draining target is refused. Test: "a start that was held back isn't sent to a draining target" fails without the change. Conclusion: fixed for starts that wait at the leader.

--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -162,8 +162,10 @@
   void SendDueRequests(base::TimePoint now, dispatch::TargetView& view);
   /// Sends the requests that are due at one target; true when more will be due there.
   bool SendRequestsTo(base::TimePoint now, dispatch::TargetView& view);
-  /// True when the window in which a start may be requested is over; see StartHistory.
-  [[nodiscard]] bool IsStartOverdue(base::TimePoint now, const dispatch::RunView& run) const;
+  /// True when a start may not be requested any more: its window is over, see StartHistory, or its
+  /// target is draining.
+  [[nodiscard]] bool IsStartOverdue(base::TimePoint now, const dispatch::TargetView& view,
+                                    const dispatch::RunView& run) const;
   /// True when a member whose start is due has no complete gang any more: another one has ended.
   /// Its start would wait for the others in vain, and might carry a later checkpoint than theirs.
   [[nodiscard]] bool IsGangBroken(const workload::TaskRef& member,
--- a/src/libs/controller/run_requests.cc
+++ b/src/libs/controller/run_requests.cc
@@ -35,8 +35,9 @@
   for (const std::string& id : std::exchange(this->changed_targets, {})) {
     TargetView* view = this->targets.Find(id);
     if (view == nullptr) continue;
-    this->SendDueRequests(now, *view);
+    // A start raises the fence above that of an acknowledgement, which then needn't wait for it.
     this->SendPollIfDue(now, *view);
+    this->SendDueRequests(now, *view);
   }
 }
 
@@ -44,8 +45,8 @@
   if (!this->calls.IsReady(now)) return;
   this->changed_targets.clear();
   for (auto& [id, view] : this->targets.All()) {
-    this->SendDueRequests(now, view);
     this->SendPollIfDue(now, view);
+    this->SendDueRequests(now, view);
   }
 }
 
@@ -56,7 +57,7 @@
   for (auto& [task, run] : view.runs) {
     // The start may have been due for some time, for example while the target was silent.
     run.is_obsolete =
-        run.is_obsolete || this->IsGangBroken(task, run) || this->IsStartOverdue(now, run);
+        run.is_obsolete || this->IsGangBroken(task, run) || this->IsStartOverdue(now, view, run);
     if (run.is_obsolete || run.is_migrating) {
       more = true;
       if (run.start_request == StartRequestState::kToSend && !run.is_in_doubt) {
@@ -79,9 +80,12 @@
   return more;
 }
 
-bool RunManager::IsStartOverdue(base::TimePoint now, const RunView& run) const {
-  return run.start_request == StartRequestState::kToSend &&
-         now - run.committed_at > this->settings.start_window;
+bool RunManager::IsStartOverdue(base::TimePoint now, const TargetView& view,
+                                const RunView& run) const {
+  if (run.start_request != StartRequestState::kToSend) return false;
+  const TargetRecord* record = this->RecordOf(view.incarnation);
+  const bool is_draining = record != nullptr && record->draining;
+  return is_draining || now - run.committed_at > this->settings.start_window;
 }
 
 bool RunManager::IsGangBroken(const TaskRef& member, const RunView& run) const {
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -358,6 +358,23 @@
   CHECK(longest_pause_ms < 2'500);
 }
 
+// Guards against a start that is held back and sent long after its target has begun to drain
+// (vp-kochi-fleet-large, fresh-5ad5, DRAIN).
+TEST_CASE("a start that was held back isn't sent to a draining target") {
+  Simulation simulation(1, 1);
+  simulation.targets.run_ms = 1'000;
+  simulation.RunFor(1'000);
+  simulation.leaders.back()->has_lost_lease = true;
+  simulation.Submit("0000000000000001", 1);
+  simulation.RunFor(100);
+  simulation.targets.SetDraining("t0");
+  simulation.RunFor(2'000);
+  REQUIRE(simulation.log.state.Targets().at("t0").draining);
+  simulation.leaders.back()->has_lost_lease = false;
+  simulation.RunFor(3'000);
+  CHECK(simulation.targets.starts == 0);
+}
+
 // Guards against members of one run of a gang that start from different checkpoints: one that had
 // waited for the others in vain had ended with a new checkpoint, and the others still started.
 TEST_CASE("no member starts after another member of its run has ended") {
