Answer late announcements of targets that have left at once

Callers of the control address (targets) got no answer in time: a target that had left and announced itself again was polled at its address first. Also, a poll that was rejected for the fence of a later start counted as unanswered. Change: only later incarnations are checked. Test: "with enough targets, other VMs confirm announcements" failed on the code before and passes.

--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -164,6 +164,11 @@
     case CallStatus::kOtherIncarnation:
       this->OnOtherTarget(now, target);
       break;
+    case CallStatus::kFenced:
+      poll.next_at = now + (request.fence == view->fence ? this->settings.retry_delay
+                                                         : this->settings.carry_retry_delay);
+      this->OnFenced(*view, request.fence);
+      break;
     case CallStatus::kNotCarried:
     case CallStatus::kDelegateLost:
       poll.next_at = now + this->settings.carry_retry_delay;
@@ -173,7 +178,6 @@
                 {{"target", target.id},
                  {"verdict", base::NameOf(kCallStatusNames, response.status)},
                  {"fence", request.fence}});
-      if (response.status == CallStatus::kFenced) this->OnFenced(*view, request.fence);
       this->OnNoResponse(*view);
       poll.next_at =
           now + this->settings.retry_delay * std::min(view->unanswered_requests, kMaxBackoffFactor);
--- a/src/libs/controller/target_reports.cc
+++ b/src/libs/controller/target_reports.cc
@@ -54,8 +54,9 @@
     if (IsUnchanged(known->second, announcement)) return done(true);
   }
   std::vector<TargetIncarnation> replaced_targets = this->ReplacedBy(target);
-  const bool has_retired = this->state.HasRetired(target.incarnation.id);
-  if (replaced_targets.empty() && !has_retired) return this->Register(announcement, done);
+  const bool follows_retired =
+      this->state.HasRetired(target.incarnation.id) && !this->state.IsRetired(target.incarnation);
+  if (replaced_targets.empty() && !follows_retired) return this->Register(announcement, done);
   this->RegisterIfPresent(now, announcement, std::move(replaced_targets), done);
 }
 
