Keep the linter clean in the moves of runs

Change: the record is looked up in a line of its own, as one condition. Conclusion: no change of behaviour.

--- a/src/libs/controller/run_throttling.cc
+++ b/src/libs/controller/run_throttling.cc
@@ -183,9 +183,8 @@
   std::size_t migrations = 0;
   bool has_begun = false;
   for (auto& [id, view] : this->targets.All()) {
-    if (view.unanswered_requests > 0 || view.replaced_at ||
-        this->RecordOf(view.incarnation) == nullptr)
-      continue;
+    const bool is_known = this->RecordOf(view.incarnation) != nullptr;
+    if (view.unanswered_requests > 0 || view.replaced_at || !is_known) continue;
     for (auto& [task, run] : view.runs) {
       if (migrations >= this->settings.migration.max_per_round) return;
       const workload::StepSpec* spec = run.spec.get();
