Test the log of expired leases, and simplify the condition of a start

Cause: "leases expired" came without a test, and two comments stood in a row above one condition in run_requests.cc. Change: the condition has named parts. Test: "the log names the leases of a target whose runs are given up". Conclusion: no change of behaviour.

--- a/src/libs/controller/run_requests.cc
+++ b/src/libs/controller/run_requests.cc
@@ -70,10 +70,12 @@
       const bool is_given_up = this->concluded.contains({task, run.run});
       // A silent target may have restarted, and its next incarnation would take the start. The
       // lists tell which one responds.
-      // A repeated start is what such an acknowledgement waits for.
-      const bool must_wait =
-          view.unanswered_requests > 0 || (!run.is_in_doubt && IsAcknowledgementOverdue(now, view));
-      if (now >= run.requested_at && !is_given_up && !must_wait) this->SendStart(now, view, task);
+      const bool is_silent = view.unanswered_requests > 0;
+      // An overdue acknowledgement goes first, unless this is the start it waits for: one of
+      // unknown outcome, which has to be repeated.
+      const bool is_held_back = !run.is_in_doubt && IsAcknowledgementOverdue(now, view);
+      const bool may_send = now >= run.requested_at && !is_given_up && !is_silent && !is_held_back;
+      if (may_send) this->SendStart(now, view, task);
       more = more || run.start_request == StartRequestState::kToSend;
     }
   }
--- a/tests/auto/controller/tst_restarted_targets.cc
+++ b/tests/auto/controller/tst_restarted_targets.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "run_simulation.h"
+#include "support/log_file.h"
 
 namespace mangoroad::controller {
 namespace {
@@ -346,5 +347,28 @@
   CHECK(simulation.AllComplete());
 }
 
+// Guards against a leader whose log doesn't tell which leases it counted when it gave runs up:
+// those it had granted, or those for a former incarnation (issue 40).
+TEST_CASE("the log names the leases of a target whose runs are given up") {
+  const support::LogFile log_file({.levels = "info"});
+  Simulation simulation(1, 4);
+  simulation.targets.run_ms = 30'000;
+  simulation.RunFor(15'000);
+  simulation.targets.Reboot("t0", 100);
+  simulation.RunFor(3'000);
+  simulation.Submit("0000000000000001", 8);
+  simulation.RunFor(500);
+  simulation.targets.SetIsolated("t0", true);
+  simulation.RunFor(12'000);
+  const std::string text = log_file.Text();
+  CHECK(text.find("target inherits a lease\" target=t0") != std::string::npos);
+  const std::size_t expired = text.find("leases expired\" target=t0");
+  REQUIRE(expired != std::string::npos);
+  const std::string line = text.substr(expired, text.find('\n', expired) - expired);
+  CHECK(line.find(" runs=2 ") != std::string::npos);
+  CHECK(line.find(" held=0 ") != std::string::npos);
+  CHECK(line.find(" inherited_deadline_ms=1") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
--- a/tests/auto/log/tst_log.cc
+++ b/tests/auto/log/tst_log.cc
@@ -8,33 +8,12 @@
 #include "base/soft_assert.h"
 #include "log/log.h"
 #include "log/log_line.h"
+#include "support/log_file.h"
 
 namespace mangoroad::log {
 namespace {
 
-class LogFile {
- public:
-  explicit LogFile(Options options) {
-    std::remove(this->path.c_str());
-    options.file = this->path;
-    REQUIRE(base::Ok(Configure(options)));
-  }
-  ~LogFile() {
-    (void)Configure({});
-    std::remove(this->path.c_str());
-  }
-  LogFile(const LogFile&) = delete;
-  LogFile& operator=(const LogFile&) = delete;
-
-  [[nodiscard]] std::string Text() const {
-    Flush();
-    std::ifstream stream(this->path);
-    return {std::istreambuf_iterator<char>(stream), {}};
-  }
-
- private:
-  std::string path = "tst_log_output.log";
-};
+using support::LogFile;
 
 // Guards against a module's level that also changes the others.
 TEST_CASE("one category's level is set alone") {
