Spread the restarts in the test of acknowledgements

Cause: with 60 seeds "a target isn't sent an acknowledgement and a start that it could mistake for its own" no longer failed without the rule that acknowledgements wait for starts: its restarts lay within 60 ms. Change: the restarts of the seeds lie 13 ms apart.

--- a/tests/auto/controller/tst_restarted_targets.cc
+++ b/tests/auto/controller/tst_restarted_targets.cc
@@ -202,7 +202,7 @@
       simulation.time.After(std::int64_t{50} * i, [&simulation, id] { simulation.Submit(id, 4); });
     }
     for (const std::int64_t at : {500, 1'400}) {
-      simulation.time.After(at + static_cast<std::int64_t>(seed),
+      simulation.time.After(at + std::int64_t{13} * static_cast<std::int64_t>(seed),
                             [&simulation] { simulation.targets.Reboot("t0", 100); });
     }
     simulation.RunFor(20'000);
