Reset connections of the HTTP client when they are closed

Cause: HttpClient closed the connection of a request that had timed out or been cancelled plainly, so that the kernel kept what was unsent and delivered it later, for example when a cut ended. TCP_NODELAY and TCP_USER_TIMEOUT were set only when a connection became idle, not for its first request. Change: both, and SO_LINGER with a time of 0, are set as soon as evhttp has created the socket, before it writes the request, also when evhttp connects anew after the server closed an idle connection. The reset holds for idle connections too: their answers are complete, so nothing can be lost, and switching it for each request would cost two system calls. Tests, both seen failing before the change: "a connection has its options from its first request on" (TCP_NODELAY 0 == 1, TCP_USER_TIMEOUT 0 == 3000, l_onoff 0 == 1, for the first request and after a reconnect), "the unsent part of a request is dropped when the request ends" (received 100065 < 100000, count 0 == -1; after a timeout, a cancel and the end of the client). Conclusion: unsent bytes are dropped on Linux.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -57,6 +57,11 @@
   }
 }
 
+/// False for a connection that hasn't been opened, or that evhttp closed while it was idle.
+bool HasSocket(evhttp_connection* connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) >= 0;
+}
+
 struct IdleConnection {
   HttpAddress address;
   evhttp_connection* connection = nullptr;
@@ -139,8 +144,12 @@
   if (fd < 0) return;
   const int on = 1;
   const auto timeout = static_cast<unsigned>(base::ToMilliseconds(this->limits.user_timeout));
+  // Closing resets the connection, also at the end of the process, so that the kernel drops the
+  // unsent part of a request instead of sending it after the caller has given it up.
+  const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
 }
 
 void HttpClient::Private::CloseIdle(IdleList::iterator connection) {
@@ -191,7 +200,6 @@
   const bool reusable =
       !call.failure && !call.close_after && pool.idle.size() < this->limits.max_idle_connections;
   if (reusable) {
-    this->SetSocketOptions(connection);
     this->idle.push_back({call.address, connection, call.opened, this->loop.Now()});
     pool.idle.push_back(std::prev(this->idle.end()));
   } else {
@@ -335,11 +343,15 @@
   call.request = handle;
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(request.timeout).count();
   evhttp_connection_set_timeout(taken.connection, static_cast<int>(seconds) + 2);
+  const bool has_socket = HasSocket(taken.connection);
   if (evhttp_make_request(taken.connection, handle, CommandOf(request.method),
                           request.target.c_str()) != 0) {
     // evhttp has freed the request. Callers never get their callback from inside Send.
     if (Call* failed = this->Find(id); failed != nullptr) failed->request = nullptr;
     this->posts.Post([this, id] { this->End(id, HttpFailure::kNotConnected); });
+  } else if (!has_socket) {
+    // evhttp has started to connect. It writes the request in a later round of the loop.
+    this->SetSocketOptions(taken.connection);
   }
 }
 
--- a/tests/auto/net/tst_http.cc
+++ b/tests/auto/net/tst_http.cc
@@ -1,10 +1,13 @@
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <memory>
 #include <optional>
 #include <string>
@@ -316,5 +319,136 @@
   CHECK_FALSE(fixture.Call({.target = "/"}).failure);
 }
 
+using SocketName = int (*)(int, sockaddr*, socklen_t*);
+
+/// Connected sockets of this process whose local (`getsockname`) or remote (`getpeername`) port is
+/// `port`.
+std::vector<int> ConnectionsOf(SocketName name, std::uint16_t port) {
+  constexpr int kDescriptors = 256;
+  std::vector<int> result;
+  for (int fd = 0; fd < kDescriptors; ++fd) {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) continue;
+    size = sizeof(address);
+    if (name(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) continue;
+    if (address.sin_family == AF_INET && ntohs(address.sin_port) == port) result.push_back(fd);
+  }
+  return result;
+}
+
+template <typename Value>
+Value SocketOption(int fd, int level, int option) {
+  Value value{};
+  socklen_t size = sizeof(value);
+  REQUIRE(getsockopt(fd, level, option, &value, &size) == 0);
+  return value;
+}
+
+// Guards against a first request that waits for its peer without a limit, or that the kernel still
+// delivers after the process has ended, because options are set only when a connection is reused.
+TEST_CASE("a connection has its options from its first request on") {
+  int requests = 0;
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    ++requests;
+    const std::vector<int> sockets = ConnectionsOf(getpeername, fixture.address.port);
+    REQUIRE(sockets.size() == 1);
+    CHECK(SocketOption<int>(sockets[0], IPPROTO_TCP, TCP_NODELAY) == 1);
+    CHECK(SocketOption<unsigned>(sockets[0], IPPROTO_TCP, TCP_USER_TIMEOUT) == 3000);
+    const auto closing = SocketOption<linger>(sockets[0], SOL_SOCKET, SO_LINGER);
+    CHECK(closing.l_onoff == 1);
+    CHECK(closing.l_linger == 0);
+    exchange->Reply(200, {}, "");
+  });
+  CHECK_FALSE(fixture.Call({.target = "/"}).failure);
+  // evhttp connects anew with the same connection object when the server has closed the idle
+  // connection.
+  for (const int fd : ConnectionsOf(getsockname, fixture.address.port)) shutdown(fd, SHUT_RDWR);
+  const Timer closed =
+      fixture.loop.After(std::chrono::milliseconds(50), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(ConnectionsOf(getpeername, fixture.address.port).empty());
+  CHECK(fixture.client.Connections(fixture.address) == 1);
+  CHECK_FALSE(fixture.Call({.target = "/"}).failure);
+  CHECK(requests == 2);
+}
+
+/// A listening socket whose connections aren't read until the test does.
+class UnreadListener {
+ public:
+  explicit UnreadListener(int backlog) : fd(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int receive_buffer = 4096;
+    REQUIRE(setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer)) ==
+            0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    inet_pton(AF_INET, this->address.ip.c_str(), &name.sin_addr);
+    REQUIRE(bind(this->fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+    REQUIRE(listen(this->fd, backlog) == 0);
+    socklen_t size = sizeof(name);
+    REQUIRE(getsockname(this->fd, reinterpret_cast<sockaddr*>(&name), &size) == 0);
+    this->address.port = ntohs(name.sin_port);
+  }
+  ~UnreadListener() { close(this->fd); }
+  UnreadListener(const UnreadListener&) = delete;
+  UnreadListener& operator=(const UnreadListener&) = delete;
+
+  /// Accepts the next connection; -1 when there is none within `wait`.
+  [[nodiscard]] int Accept(std::chrono::milliseconds wait) const {
+    SetReceiveTimeout(this->fd, wait);
+    const int accepted = accept(this->fd, nullptr, nullptr);
+    if (accepted >= 0) SetReceiveTimeout(accepted, std::chrono::seconds(2));
+    return accepted;
+  }
+
+  int fd;
+  HttpAddress address{"127.0.0.1", 0};
+
+ private:
+  static void SetReceiveTimeout(int socket, std::chrono::milliseconds wait) {
+    const timeval limit{wait.count() / 1000, wait.count() % 1000 * 1000};
+    REQUIRE(setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit)) == 0);
+  }
+};
+
+// Guards against a request that reaches its target after its caller has given it up: the kernel
+// keeps what it took from a connection that is closed plainly, and sends it when it can.
+TEST_CASE("the unsent part of a request is dropped when the request ends") {
+  enum class Ending { kTimeout, kCancel, kDestruction };
+  const Ending ending = GENERATE(Ending::kTimeout, Ending::kCancel, Ending::kDestruction);
+  CAPTURE(static_cast<int>(ending));
+  const UnreadListener listener(1);
+  EventLoop loop;
+  auto client = std::make_unique<HttpClient>(loop, HttpClientLimits{});
+  const std::string body(100'000, 'b');
+  const auto timeout = std::chrono::milliseconds(ending == Ending::kTimeout ? 200 : 5000);
+  std::optional<HttpFailure> result;
+  const HttpClient::CallId id = client->SendWhole(
+      {.address = listener.address, .method = HttpMethod::kPost, .body = body, .timeout = timeout},
+      [&](auto failure, const auto& /*answer*/, const auto& /*body*/) { result = failure; });
+  const Timer cancel = loop.After(std::chrono::milliseconds(200), [&] {
+    if (ending == Ending::kCancel) client->Cancel(id);
+  });
+  const Timer stop = loop.After(std::chrono::milliseconds(400), [&] { loop.Stop(); });
+  loop.Run();
+  if (ending == Ending::kTimeout) CHECK(result == HttpFailure::kTimeout);
+  if (ending == Ending::kCancel) CHECK(result == HttpFailure::kCancelled);
+  client.reset();
+
+  const int accepted = listener.Accept(std::chrono::seconds(2));
+  REQUIRE(accepted >= 0);
+  std::vector<char> buffer(1 << 16);
+  std::size_t received = 0;
+  ssize_t count = 0;
+  while ((count = recv(accepted, buffer.data(), buffer.size(), 0)) > 0) {
+    received += static_cast<std::size_t>(count);
+  }
+  const int error = errno;
+  close(accepted);
+  CHECK(received < body.size());
+  CHECK(count == -1);
+  CHECK(error == ECONNRESET);
+}
+
 }  // namespace
 }  // namespace mangoroad::net
