Report requests that were never written as not sent

Cause: a request whose connection wasn't established in time ended as kTimeout, and as kClosedEarly when the kernel gave up connecting (TCP_USER_TIMEOUT), so that its caller had to count it as possibly carried out. evhttp writes a request only after it has connected. Change: HttpClient watches the output buffer of the connection, at no system call. A request that ends as kTimeout or kClosedEarly without a byte in it is kNotConnected. getpeername() was weighed and left out: it also fails with ENOTCONN for a connection that was reset after the peer received the request. As before, evhttp closes the socket when the request is given up. Effect on callers: TargetClient reports kNotSent instead of kNoResponse, so RunManager plans a start elsewhere unless an earlier request of the run is in doubt, and the target still counts as silent. CallDelegate passes the status on. EdgeNode doesn't count the attempt as in doubt, so a caller gets kUnavailable rather than kUnknown. LiveService reports kNotSent to its router, which doesn't set may_have_run and counts a failed connection. JobLeader and ControlListener treat all failures alike. Tests: "a request whose connection isn't established in time is never sent", seen failing before the change ("timeout" == "not-connected" and "closed-early" == "not-connected"); "a request that was sent counts as possibly carried out when it times out" passes before and after. Taken out alone: the mark of a written request (7 assertions in 5 cases fail), the close of a request that is given up (1 assertion: the connection is established later). Conclusion: a request sent into a cut that has no open connection yet is reported as not sent.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -57,6 +57,10 @@
   }
 }
 
+evbuffer* OutputOf(evhttp_connection* connection) {
+  return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+}
+
 /// False for a connection that hasn't been opened, or that evhttp closed while it was idle.
 bool HasSocket(evhttp_connection* connection) {
   return bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) >= 0;
@@ -87,6 +91,9 @@
   evhttp_request* request = nullptr;
   std::shared_ptr<void> context;  // the argument of libevent's callbacks
   base::TimePoint opened;
+  evbuffer_cb_entry* output_watch = nullptr;
+  /// evhttp has begun to write the request, which it does only over an established connection.
+  bool is_written = false;
   bool headers_seen = false;
   bool length_known = false;
   bool close_after = false;
@@ -133,6 +140,7 @@
   void GiveUp(CallId id, HttpFailure failure);
   void SetSocketOptions(evhttp_connection* connection) const;
 
+  static void OnOutput(evbuffer* output, const evbuffer_cb_info* info, void* argument);
   static int OnHeaders(evhttp_request* request, void* argument);
   static void OnChunk(evhttp_request* request, void* argument);
   static void OnError(evhttp_request_error error, void* argument);
@@ -197,6 +205,7 @@
   if (call.connection == nullptr) return;
   Pool& pool = this->pools[call.address];
   evhttp_connection* connection = std::exchange(call.connection, nullptr);
+  evbuffer_remove_cb_entry(OutputOf(connection), call.output_watch);
   const bool reusable =
       !call.failure && !call.close_after && pool.idle.size() < this->limits.max_idle_connections;
   if (reusable) {
@@ -217,6 +226,12 @@
   if (entry == this->calls.end()) return;
   const std::unique_ptr<Call> call = std::move(entry->second);
   this->calls.erase(entry);
+  // The state of the socket wouldn't tell: a connection that the peer reset after it had received
+  // the request isn't connected either.
+  const bool is_lost = failure == HttpFailure::kTimeout || failure == HttpFailure::kClosedEarly;
+  if (is_lost && call->connection != nullptr && !call->is_written) {
+    failure = HttpFailure::kNotConnected;
+  }
   call->failure = failure;
   this->Release(*call);
   if (call->callbacks.on_end) call->callbacks.on_end(failure);
@@ -231,6 +246,11 @@
   this->End(id, failure);
 }
 
+void HttpClient::Private::OnOutput(evbuffer* /*output*/, const evbuffer_cb_info* info,
+                                   void* argument) {
+  if (info->n_added > 0) static_cast<Call*>(argument)->is_written = true;
+}
+
 int HttpClient::Private::OnHeaders(evhttp_request* request, void* argument) {
   const auto* context = static_cast<Context*>(argument);
   Call* call = context->client->Find(context->id);
@@ -272,11 +292,8 @@
   if (call == nullptr) return;
   call->request = nullptr;
   std::optional<HttpFailure> failure = call->failure;
-  if (!failure && request == nullptr) failure = HttpFailure::kClosedEarly;
-  if (!failure && !call->headers_seen) {
-    // evhttp reports a connection that was never established without an error code.
-    failure = HttpFailure::kNotConnected;
-  }
+  // evhttp reports a refused connection with a request and without an error code.
+  if (!failure && (request == nullptr || !call->headers_seen)) failure = HttpFailure::kClosedEarly;
   // An answer that ends with the connection can't be told from a truncated one.
   if (!failure && !call->length_known) failure = HttpFailure::kClosedEarly;
   context.client->End(context.id, failure);
@@ -343,6 +360,7 @@
   call.request = handle;
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(request.timeout).count();
   evhttp_connection_set_timeout(taken.connection, static_cast<int>(seconds) + 2);
+  call.output_watch = evbuffer_add_cb(OutputOf(taken.connection), OnOutput, &call);
   const bool has_socket = HasSocket(taken.connection);
   if (evhttp_make_request(taken.connection, handle, CommandOf(request.method),
                           request.target.c_str()) != 0) {
--- a/tests/auto/net/tst_http.cc
+++ b/tests/auto/net/tst_http.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -450,5 +451,65 @@
   CHECK(error == ECONNRESET);
 }
 
+// Guards against a request reported as possibly carried out although it can't have been, and
+// against one that is carried out after it was reported as not sent: the kernel repeats the opening
+// packet after a second.
+TEST_CASE("a request whose connection isn't established in time is never sent") {
+  enum class Ending { kDeadline, kUserTimeout };
+  const Ending ending = GENERATE(Ending::kDeadline, Ending::kUserTimeout);
+  CAPTURE(static_cast<int>(ending));
+  const UnreadListener listener(0);
+  // Fills the queue of the listener, which doesn't answer opening packets from then on.
+  const SilentConnection filler(listener.address);
+  REQUIRE(filler.connected);
+  EventLoop loop;
+  HttpClientLimits limits;
+  std::chrono::milliseconds timeout{300};
+  if (ending == Ending::kUserTimeout) {
+    limits.user_timeout = std::chrono::milliseconds(300);
+    timeout = std::chrono::seconds(8);
+  }
+  HttpClient client(loop, limits);
+  std::string_view result = "none";
+  client.SendWhole({.address = listener.address, .target = "/", .timeout = timeout},
+                   [&](auto failure, const auto& /*answer*/, const auto& /*body*/) {
+                     if (failure) result = base::NameOf(kHttpFailureNames, *failure);
+                     loop.Stop();
+                   });
+  const Timer limit = loop.After(kTestLimit, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(result == "not-connected");
+
+  const int accepted = listener.Accept(std::chrono::seconds(1));
+  REQUIRE(accepted >= 0);
+  close(accepted);
+  const Timer stop = loop.After(std::chrono::milliseconds(1500), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(client.AllConnections() == 0);
+  CHECK(listener.Accept(std::chrono::milliseconds(100)) == -1);
+}
+
+// Guards against a request that may be carried out and is reported as not sent, which its caller
+// would send elsewhere as well.
+TEST_CASE("a request that was sent counts as possibly carried out when it times out") {
+  const bool is_reused = GENERATE(false, true);
+  CAPTURE(is_reused);
+  std::vector<HttpExchangePtr> held;
+  bool holds = false;
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    if (!holds) return exchange->Reply(200, {}, "");
+    held.push_back(exchange);
+  });
+  if (is_reused) {
+    CHECK_FALSE(fixture.Call({.target = "/"}).failure);
+    CHECK(fixture.client.Connections(fixture.address) == 1);
+  }
+  holds = true;
+  const auto outcome = fixture.Call({.target = "/", .timeout = std::chrono::milliseconds(100)});
+  CHECK(outcome.failure == HttpFailure::kTimeout);
+  CHECK(held.size() == 1);
+  held.clear();
+}
+
 }  // namespace
 }  // namespace mangoroad::net
