Keep a task until its outstanding starts can't be carried out

A start that gets no response may be carried out seconds later, by a later incarnation of its target, too: that one has seen no fence, and no page ties a late request to the incarnation that received it.

Cause: the leader took a start to be on its way for 2 s at most, though the platform's kinds of disruption give 12 s (applied_late). It freed the task when the lease was over, when a new leader's first list didn't contain the run, or once one incarnation had confirmed a stop; another incarnation then began the run beside the next one. A new leader knew nothing of unanswered starts that were committed over 7 s before. Change: OutstandingStarts notes until when each unanswered start may be carried out. Until then its task isn't started elsewhere: the start is repeated at the same target, and a run of unknown fate is kept for the longest lease after that if the target is silent. A start that got no response is committed again, so that the next leader knows it (StartHistory), whose entries count from when they were proposed if they are read from the log after a restart. Long-running tasks keep the former 2 s: they have to run again within seconds (rule LOST). "a run that was given up isn't started when its target comes back" covers returns up to 32 s, since the run is held longer now: below that it would give up none. Conclusion: the bound is the platform's, not a guess of ours; with later requests the fault would be back.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -3,7 +3,8 @@
 // A request names its target by the id alone. A start that is on its way while the target restarts
 // may therefore be carried out by the next incarnation, even seconds later. Such a run is over only
 // once that incarnation has confirmed a stop, after which it rejects the run, and has then sent
-// lists without it.
+// lists without it. A start that got no response may also be carried out by the incarnation after
+// that one, so its run isn't over before OutstandingStarts says that it can't begin any more.
 #include <algorithm>
 
 #include "controller/run_manager.h"
@@ -70,6 +71,22 @@
   return view.lease.SafeExpiry();
 }
 
+base::TimePoint RunManager::HeldUntil(const TaskRef& task, std::uint32_t run) const {
+  const auto latest = this->outstanding_starts.LatestBegin(task, run);
+  return latest ? this->LongestExpiry(*latest) : base::TimePoint{};
+}
+
+bool RunManager::MayStillRun(base::TimePoint now, const TaskRef& task) const {
+  const auto outstanding = this->outstanding_starts.LatestRunOf(task);
+  if (!outstanding) return false;
+  if (now < outstanding->latest_begin) return true;
+  const TargetView* view = this->targets.Find(outstanding->target_id);
+  const bool responds = view != nullptr && !view->replaced_at && view->is_fenced &&
+                        view->unanswered_requests == 0 &&
+                        view->last_contact >= outstanding->latest_begin;
+  return !responds && now < this->HeldUntil(task, outstanding->run);
+}
+
 base::TimePoint RunManager::LongestExpiry(base::TimePoint now) const {
   const dispatch::LeaseDurations durations{this->settings.longest_lease,
                                            this->settings.lease.margin};
@@ -129,15 +146,20 @@
     return true;
   }
   const FormerRun& run = found->second;
-  if (run.absent_since) {
+  // A later incarnation of the target may yet begin it.
+  const auto latest_begin = this->outstanding_starts.LatestBegin(task, run.run);
+  if (latest_begin && now < *latest_begin) return false;
+  if (run.absent_since && (!latest_begin || *run.absent_since >= *latest_begin)) {
     const bool is_rejected = run.stop_confirmed && *run.stop_confirmed <= *run.absent_since;
     // A target that refuses all stops must not hold the task for good.
-    if (!run.is_uncertain || is_rejected || now >= former->longest_expiry) return true;
+    const bool may_begin = run.is_uncertain && !latest_begin;
+    if (!may_begin || is_rejected || now >= former->longest_expiry) return true;
   }
   if (view->unanswered_requests == 0) return false;
   // The present incarnation is silent. Whatever it took has a lease, which isn't extended.
-  if (!run.is_uncertain) return now >= former->lease_expiry;
-  return now >= std::max(former->longest_expiry, view->lease.SafeExpiry());
+  if (!run.is_uncertain && !latest_begin) return now >= former->lease_expiry;
+  return now >= std::max({former->longest_expiry, view->lease.SafeExpiry(),
+                          this->HeldUntil(task, run.run)});
 }
 
 }  // namespace mangoroad::controller
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -1,6 +1,8 @@
 #include "controller/run_manager.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "log/log.h"
 
@@ -25,7 +27,8 @@
       calls(target_calls),
       context(leader_context),
       settings(leader_settings),
-      start_history(leader_settings.start_window + leader_settings.longest_transit),
+      start_history({leader_settings.start_window, leader_settings.longest_response_time,
+                     leader_settings.longest_request_delay}),
       targets(leader_settings.lease, leader_settings.health),
       planner(workload_state, this->targets, leader_settings.plan) {}
 
@@ -36,11 +39,12 @@
   this->targets.Reset(now);
   this->statistics.Reset();
   const StartHistory::Recent recent = this->start_history.RecentAt(now);
+  this->AdoptOutstandingStarts(now, recent);
   for (const auto& [id, record] : this->state.Targets()) {
     TargetView& view = this->targets.FindOrCreate(record.incarnation);
     view.last_contact = now;
     this->InheritLease(now, view);
-    this->AdoptRuns(now, view, recent);
+    this->AdoptRuns(view, recent);
     this->TrackFormerRuns(now, view);
   }
   for (const auto& [target, tasks] : this->state.RunningOn()) {
@@ -60,6 +64,8 @@
   this->concluded.clear();
   this->orphans.clear();
   this->unconfirmed_starts.clear();
+  this->outstanding_starts.Clear();
+  this->unanswered_starts.clear();
   this->changed_targets.clear();
   this->proposal_in_flight = false;
 }
@@ -77,15 +83,40 @@
 
 /// Adopts the committed runs of a target. An earlier leader may or may not have sent their start
 /// requests.
-void RunManager::AdoptRuns(base::TimePoint now, TargetView& view,
-                           const StartHistory::Recent& recent) {
+void RunManager::AdoptRuns(TargetView& view, const StartHistory::Recent& recent) {
   const auto running = this->state.RunningOn().find(view.incarnation);
   if (running == this->state.RunningOn().end()) return;
   for (const TaskRef& ref : running->second) {
     RunView& run = this->AddRun(view, ref);
     run.run = this->state.FindTask(ref)->run;
     run.start_request = StartRequestState::kSent;
-    if (recent.MayContain(ref, run.run)) run.doubt_until = this->LongestExpiry(now);
+    const auto request = recent.Of(ref, run.run);
+    run.is_in_doubt = request && request->is_unanswered;
+  }
+}
+
+void RunManager::AdoptOutstandingStarts(base::TimePoint now, const StartHistory::Recent& recent) {
+  const auto adopt = [&](const TaskRef& ref, const Task& task, bool is_running) {
+    const auto request = recent.Of(ref, task.run);
+    // The run of a waiting task has ended, so a single request was carried out.
+    if (!request || (!is_running && !request->is_unanswered)) return;
+    const workload::StepSpec* spec = this->state.SpecOf(ref);
+    const bool is_long_running = spec != nullptr && spec->long_running;
+    // See LatestExecution for long-running tasks.
+    const base::TimePoint latest =
+        is_long_running ? std::min(now, request->latest) : request->latest;
+    this->outstanding_starts.OnSent(latest, task.target.id, ref, task.run);
+    if (request->is_unanswered) this->outstanding_starts.OnUnanswered(ref, task.run);
+  };
+  for (const auto& [target, tasks] : this->state.RunningOn()) {
+    for (const TaskRef& ref : tasks) adopt(ref, *this->state.FindTask(ref), true);
+  }
+  for (const workload::StepRef& ready : this->state.Ready()) {
+    TaskRef ref{ready.job, ready.occurrence, ready.step, 0};
+    for (const Task& task : this->state.FindStep(ready)->tasks) {
+      if (task.phase == TaskPhase::kWaiting && task.run > 0) adopt(ref, task, false);
+      ref.index += 1;
+    }
   }
 }
 
@@ -151,18 +182,19 @@
 }
 
 bool RunManager::HasUnregisteredRunEnded(base::TimePoint now, const TargetIncarnation& target,
-                                         base::TimePoint since) const {
+                                         const TaskRef& task, base::TimePoint since) const {
   if (this->replaced.contains(target)) return true;
   if (this->state.IsRetired(target)) return now - since >= this->settings.leave_timeout;
   // Its next incarnation may hold the run and hasn't announced itself yet.
-  return now >= this->LongestExpiry(since);
+  return now >= std::max(this->LongestExpiry(since),
+                         this->HeldUntil(task, this->state.FindTask(task)->run));
 }
 
 void RunManager::GiveUpRuns(base::TimePoint now, const TargetView& view) {
   std::size_t given_up = 0;
   std::size_t held = 0;
   for (const auto& [task, run] : view.runs) {
-    const bool is_held = now < run.doubt_until;
+    const bool is_held = now < this->HeldUntil(task, run.run);
     held += is_held ? 1 : 0;
     if (is_held || this->concluded.contains({task, run.run})) continue;
     given_up += 1;
@@ -195,7 +227,7 @@
     const base::TimePoint since = this->unregistered.emplace(target, now).first->second;
     for (const TaskRef& task : tasks) {
       const bool has_ended = has_record ? this->HasFormerRunEnded(now, target, task)
-                                        : this->HasUnregisteredRunEnded(now, target, since);
+                                        : this->HasUnregisteredRunEnded(now, target, task, since);
       if (!has_ended) continue;
       this->Conclude(task, this->state.FindTask(task)->run, target, RunEnd::kLost);
     }
@@ -223,25 +255,30 @@
   changes.due_occurrences = this->DueOccurrences(time_of_day_ms);
   if (std::exchange(this->plan_due, false)) {
     changes.starts = this->planner.Plan(now, time_of_day_ms, this->unconfirmed_starts.size());
+    this->HoldBackStarts(now, changes.starts);
     if (changes.starts.empty()) this->LogBacklog(now);
   }
+  const std::vector<workload::Start> unanswered = std::exchange(this->unanswered_starts, {});
+  std::ranges::copy(unanswered, std::back_inserter(changes.starts));
   if (changes.ends.empty() && changes.due_occurrences.empty() && changes.starts.empty()) return;
   this->proposal_in_flight = true;
   const std::uint64_t sent_generation = this->generation;
-  this->context.Propose(changes, [this, sent_generation](base::TimePoint, bool applied) {
-    if (sent_generation != this->generation) return;
-    this->proposal_in_flight = false;
-    if (!applied) {
-      // The ends are still listed by the targets, or will be concluded again.
-      for (auto& [id, view] : this->targets.All()) {
-        view.poll.listed = 0;
-        this->MarkChanged(id);
-      }
-      this->concluded.clear();
-      this->plan_due = true;
-    }
-    this->context.RequestAdvance();
-  });
+  this->context.Propose(
+      changes, [this, sent_generation, unanswered](base::TimePoint, bool applied) {
+        if (sent_generation != this->generation) return;
+        this->proposal_in_flight = false;
+        if (!applied) {
+          std::ranges::copy(unanswered, std::back_inserter(this->unanswered_starts));
+          // The ends are still listed by the targets, or will be concluded again.
+          for (auto& [id, view] : this->targets.All()) {
+            view.poll.listed = 0;
+            this->MarkChanged(id);
+          }
+          this->concluded.clear();
+          this->plan_due = true;
+        }
+        this->context.RequestAdvance();
+      });
 }
 
 void RunManager::Advance(base::TimePoint now) {
@@ -253,6 +290,7 @@
 void RunManager::Tick(base::TimePoint now) {
   if (!this->leading) return;
   this->CheckLeases(now);
+  this->outstanding_starts.Forget(now - (this->LongestExpiry(now) - now));
   this->statistics.LogIfDue(now, this->state.Ready());
   this->MigrateRuns(now);
   this->plan_due = true;
@@ -262,7 +300,10 @@
 
 void RunManager::OnApplied(base::TimePoint now, const workload::Command& command) {
   const auto* changes = std::get_if<workload::RunChanges>(&command);
-  if (changes != nullptr) this->start_history.OnApplied(now, *changes);
+  if (changes != nullptr) {
+    const std::chrono::milliseconds age(this->context.TimeOfDayMs() - changes->at_ms);
+    this->start_history.OnApplied(now, age, *changes);
+  }
   if (!this->leading) return;
   this->plan_due = true;
   if (const auto* cancel = std::get_if<workload::Cancel>(&command)) this->StopRunsOf(cancel->id);
@@ -306,6 +347,8 @@
     if (!is_current) continue;
     TargetView& view = this->targets.FindOrCreate(start.target);
     if (view.incarnation != start.target) continue;
+    const auto known = view.runs.find(start.task);
+    if (known != view.runs.end() && known->second.run == start.run) continue;
     view.runs.erase(start.task);
     RunView& run = this->AddRun(view, start.task);
     run.run = start.run;
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "controller/outstanding_starts.h"
 #include "controller/run_statistics.h"
 #include "controller/start_history.h"
 #include "controller/target_calls.h"
@@ -69,9 +70,13 @@
   base::Duration carry_retry_delay = std::chrono::milliseconds(20);
   /// A start isn't requested any more this long after it was committed.
   base::Duration start_window = std::chrono::seconds(5);
-  /// A request is on its way no longer than this: it may wait 1 s for its delegate and 700 ms for a
-  /// connection.
-  base::Duration longest_transit = std::chrono::seconds(2);
+  /// A request without a response is given up no later than this: it may wait 1 s for its delegate
+  /// and 700 ms for a connection.
+  base::Duration longest_response_time = std::chrono::seconds(2);
+  /// A request that gets no response is carried out no later than this. It arrives within 4 s (1 s
+  /// at its delegate, 3 s until a connection drops what it couldn't send), and the platform's kinds
+  /// of disruption give 2 to 12 s until it is carried out (`applied_late`).
+  base::Duration longest_request_delay = std::chrono::seconds(16);
   /// Interval at which a stop is repeated until the target lists the end of the run.
   base::Duration stop_retry_interval = std::chrono::milliseconds(1000);
   /// A target that has left ends its runs within this time.
@@ -129,8 +134,9 @@
   [[nodiscard]] const workload::TargetRecord* RecordOf(
       const workload::TargetIncarnation& target) const;
   [[nodiscard]] TargetEndpoint EndpointOf(const workload::TargetRecord& record) const;
-  void AdoptRuns(base::TimePoint now, dispatch::TargetView& view,
-                 const StartHistory::Recent& recent);
+  void AdoptRuns(dispatch::TargetView& view, const StartHistory::Recent& recent);
+  /// Takes over which requests of earlier leaders may still be carried out.
+  void AdoptOutstandingStarts(base::TimePoint now, const StartHistory::Recent& recent);
   /// A run of a task that the replicated state contains.
   dispatch::RunView& AddRun(dispatch::TargetView& view, const workload::TaskRef& task) const;
   /// Stops a run that another run's end has made obsolete, unless it has certainly ended with it.
@@ -151,6 +157,10 @@
                       const PollResponse& response);
   void ApplyLists(base::TimePoint now, dispatch::TargetView& view, base::TimePoint sent_at,
                   Fence sent_fence, const dispatch::TargetLists& lists);
+  /// What becomes of a run that a complete list doesn't contain.
+  void ApplyAbsence(base::TimePoint now, const dispatch::TargetView& view,
+                    const workload::TaskRef& task, dispatch::RunView& run, base::TimePoint sent_at,
+                    bool first_contact);
   void ApplyRunning(base::TimePoint now, dispatch::TargetView& view,
                     const dispatch::RunningRow& row);
   /// Requests or a poll may have become due at this target.
@@ -176,6 +186,13 @@
   void MarkObsolete(const workload::TaskRef& task, std::uint32_t run,
                     const workload::TargetIncarnation& target);
   void SendStart(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task);
+  /// Until when a start request that is sent now may be carried out, if it gets no response.
+  [[nodiscard]] base::TimePoint LatestExecution(base::TimePoint now,
+                                                const dispatch::RunView& run) const;
+  /// The latest request of the run got no response. The start is committed again, so that the next
+  /// leader knows of the request.
+  void NoteUnanswered(const workload::TargetIncarnation& target, const workload::TaskRef& task,
+                      std::uint32_t run);
   struct SentStart {
     workload::TargetIncarnation target;
     workload::TaskRef task;
@@ -209,6 +226,9 @@
                       const workload::TaskRef& task, std::uint32_t run_number, Fence sent_fence,
                       const CallResponse& response);
   void OnNoResponse(dispatch::TargetView& view);
+  /// A silent target responds again: starts of unknown outcome are committed again and repeated
+  /// there, rather than left to wait until none of their requests can be carried out.
+  void RenewStartWindows(base::TimePoint now, dispatch::TargetView& view);
   /// The target has seen a higher fence than that of a request.
   void OnFenced(dispatch::TargetView& view, Fence sent_fence);
   /// The incarnations whose records a registration replaces: under the same id, or at the same
@@ -234,7 +254,14 @@
   /// leader noticed that the record is missing.
   [[nodiscard]] bool HasUnregisteredRunEnded(base::TimePoint now,
                                              const workload::TargetIncarnation& target,
+                                             const workload::TaskRef& task,
                                              base::TimePoint since) const;
+  /// Until when a later incarnation of its silent target may hold a run; the epoch when none can.
+  [[nodiscard]] base::TimePoint HeldUntil(const workload::TaskRef& task, std::uint32_t run) const;
+  /// True while an earlier run of a waiting task may begin, or go on, at a target.
+  [[nodiscard]] bool MayStillRun(base::TimePoint now, const workload::TaskRef& task) const;
+  /// Removes the starts of tasks of which an earlier run may go on.
+  void HoldBackStarts(base::TimePoint now, std::vector<workload::Start>& starts);
   // former_runs.cc
   /// Takes over what the replicated state knows of a lease for a former incarnation.
   void InheritLease(base::TimePoint now, dispatch::TargetView& view) const;
@@ -273,6 +300,9 @@
   bool leading = false;
   TargetFences fences;
   StartHistory start_history;
+  OutstandingStarts outstanding_starts;
+  /// Starts that are to be committed again, see NoteUnanswered.
+  std::vector<workload::Start> unanswered_starts;
   /// Incremented per term; responses to requests of an earlier term are ignored.
   std::uint64_t generation = 0;
   dispatch::TargetTracker targets;
@@ -299,6 +329,7 @@
   RunStatistics statistics;
   base::TimePoint next_migration_at;
   base::TimePoint next_backlog_log_at;
+  base::TimePoint next_held_back_log_at;
 };
 
 }  // namespace mangoroad::controller
--- a/src/libs/controller/run_requests.cc
+++ b/src/libs/controller/run_requests.cc
@@ -87,7 +87,10 @@
   if (run.start_request != StartRequestState::kToSend) return false;
   const TargetRecord* record = this->RecordOf(view.incarnation);
   const bool is_draining = record != nullptr && record->draining;
-  return is_draining || now - run.committed_at > this->settings.start_window;
+  // One of unknown outcome is repeated when its target responds again, see RenewStartWindows.
+  const bool waits_for_target = run.is_in_doubt && view.unanswered_requests > 0;
+  const bool is_late = now - run.committed_at > this->settings.start_window;
+  return is_draining || (is_late && !waits_for_target);
 }
 
 bool RunManager::IsGangBroken(const TaskRef& member, const RunView& run) const {
@@ -113,7 +116,8 @@
   RunView& run = view.runs.at(task);
   run.start_request = StartRequestState::kSent;
   run.requested_at = now;
-  run.doubt_until = this->LongestExpiry(now);
+  this->outstanding_starts.OnSent(this->LatestExecution(now, run), view.incarnation.id, task,
+                                  run.run);
   StartRequest request;
   request.task = task;
   request.run = run.run;
@@ -130,6 +134,21 @@
                     });
 }
 
+base::TimePoint RunManager::LatestExecution(base::TimePoint now, const RunView& run) const {
+  // A long-running task has to run again within seconds of its last run, which is sooner than late
+  // requests are over.
+  const bool is_long_running = run.spec != nullptr && run.spec->long_running;
+  return now + (is_long_running ? this->settings.longest_response_time
+                                : this->settings.longest_request_delay);
+}
+
+void RunManager::NoteUnanswered(const TargetIncarnation& target, const TaskRef& task,
+                                std::uint32_t run) {
+  this->outstanding_starts.OnUnanswered(task, run);
+  this->unanswered_starts.push_back({task, run, target});
+  this->context.RequestAdvance();
+}
+
 void RunManager::OnStartResponse(base::TimePoint now, const SentStart& sent,
                                  const CallResponse& response) {
   const auto& [target, task, run_number, sent_at, sent_fence] = sent;
@@ -140,6 +159,9 @@
              {"target", target.id},
              {"fence", sent_fence},
              {"verdict", base::NameOf(kCallStatusNames, response.status)}});
+  const bool is_unanswered =
+      response.status == CallStatus::kNoResponse || response.status == CallStatus::kDelegateLost;
+  if (is_unanswered) this->NoteUnanswered(target, task, run_number);
   TargetView* view = this->targets.Find(target.id);
   if (view == nullptr || view->incarnation != target) return;
   const bool is_foreign = response.clock && !view->lease.IsPlausible(sent_at, *response.clock);
@@ -155,16 +177,15 @@
   view->has_pending_requests = true;
   this->MarkChanged(target.id);
   if (run.start_request == StartRequestState::kConfirmed) return;
-  if (response.status == CallStatus::kNoResponse || response.status == CallStatus::kDelegateLost) {
-    run.doubt_until = this->LongestExpiry(now);
-  }
+  // A later incarnation has carried out the start and may hold the run.
+  if (is_foreign && !is_unanswered) this->NoteUnanswered(target, task, run_number);
+  if (!is_foreign && !is_unanswered) this->outstanding_starts.OnAnswered(task, run_number);
   switch (response.status) {
     case CallStatus::kDone:
     case CallStatus::kStaleRun:
       run.start_request = StartRequestState::kConfirmed;
       run.confirmed_at = now;
       run.progressed_at = now;
-      if (!is_foreign && !run.is_in_doubt) run.doubt_until = {};
       this->unconfirmed_starts.erase({task, run_number});
       if (run.spec != nullptr) {
         this->statistics.OnStartConfirmed(now, run.committed_at, KindOf(*run.spec));
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -253,16 +253,27 @@
   if (run.start_request != StartRequestState::kConfirmed) {
     run.start_request = StartRequestState::kConfirmed;
     run.confirmed_at = now;
+    // The only request that was sent has been carried out.
+    if (!run.is_in_doubt) this->outstanding_starts.OnAnswered(row.task, row.run);
     this->unconfirmed_starts.erase({row.task, row.run});
   }
   NoteProgress(now, run, row);
 }
 
+void RunManager::RenewStartWindows(base::TimePoint now, TargetView& view) {
+  for (auto& [task, run] : view.runs) {
+    if (run.start_request != StartRequestState::kToSend || !run.is_in_doubt) continue;
+    run.committed_at = now;
+    this->unanswered_starts.push_back({task, run.run, view.incarnation});
+  }
+}
+
 void RunManager::ApplyLists(base::TimePoint now, TargetView& view, base::TimePoint sent_at,
                             Fence sent_fence, const dispatch::TargetLists& lists) {
   if (view.unanswered_requests >= 2) {
     log::Info(log::Category::kJobs, "target is back",
               {{"target", view.incarnation.id}, {"birth", view.incarnation.number}});
+    this->RenewStartWindows(now, view);
   }
   view.unanswered_requests = 0;
   view.last_contact = now;
@@ -294,15 +305,31 @@
   std::ranges::sort(listed, {}, by_value);
   for (auto& [task, run] : view.runs) {
     if (std::ranges::binary_search(listed, std::tie(task, run.run), {}, by_value)) continue;
-    if (first_contact && run.start_request == StartRequestState::kSent) {
-      // Requests with a lower fence no longer have any effect, so the run hasn't begun and never
-      // will.
-      run.start_request = StartRequestState::kToSend;
-      run.is_in_doubt = false;
-      run.is_obsolete = true;
-    } else if (run.start_request == StartRequestState::kConfirmed && run.confirmed_at < sent_at) {
-      this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
-    }
+    this->ApplyAbsence(now, view, task, run, sent_at, first_contact);
+  }
+  this->outstanding_starts.OnResponded(sent_at, view.incarnation.id);
+}
+
+void RunManager::ApplyAbsence(base::TimePoint now, const TargetView& view, const TaskRef& task,
+                              RunView& run, base::TimePoint sent_at, bool first_contact) {
+  const auto latest_begin = this->outstanding_starts.LatestBegin(task, run.run);
+  const bool may_begin = latest_begin && sent_at < *latest_begin;
+  if (first_contact && run.start_request == StartRequestState::kSent) {
+    // Requests with a lower fence no longer have any effect on this incarnation, so the run hasn't
+    // begun here. A later incarnation may begin it, so the start is repeated here.
+    run.start_request = StartRequestState::kToSend;
+    run.requested_at = now;
+    run.committed_at = now;
+    run.is_in_doubt = may_begin;
+    run.is_obsolete = run.is_obsolete || !may_begin;
+    if (may_begin) this->NoteUnanswered(view.incarnation, task, run.run);
+  } else if (may_begin) {
+    return;
+  } else if (run.start_request == StartRequestState::kToSend && run.is_in_doubt) {
+    run.is_in_doubt = false;
+    run.is_obsolete = true;
+  } else if (run.start_request == StartRequestState::kConfirmed && run.confirmed_at < sent_at) {
+    this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
   }
 }
 
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -69,8 +69,6 @@
   StartRequestState start_request = StartRequestState::kToSend;
   /// A request got no response and may still take effect.
   bool is_in_doubt = false;
-  /// Until then the next incarnation of the target, if it has restarted unseen, may hold the run.
-  base::TimePoint doubt_until;
   /// A list of the target's running tasks contained it.
   bool is_listed = false;
   base::TimePoint requested_at;
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -262,7 +262,13 @@
       this->Report(task, what);
     }
   }
-  if (this->noted.contains(task)) this->Report(task, "starts after its end was noted");
+  if (this->noted.contains(task)) {
+    if (this->is_carrying_out_for_former) {
+      this->late_repeats += 1;
+    } else {
+      this->Report(task, "starts after its end was noted");
+    }
+  }
   this->CheckAgainstSpec(request);
 }
 
@@ -315,6 +321,7 @@
   if (!this->HasRoomFor(target, request.task)) return {CallStatus::kNoCapacity, clock};
   this->CheckStart(target, request);
   this->starts += 1;
+  if (this->is_carrying_out_for_former) this->late_starts += 1;
   this->last_start[request.task] = this->time.Now();
   this->started_on[request.task].insert(target.identity.id);
   target.running[request.task] = {request.run, this->time.Now()};
@@ -342,16 +349,12 @@
 void FakeTargets::Deliver(const TargetEndpoint& to, const Handler& handler,
                           const OnResponse& on_response) {
   if (this->random.Chance(this->in_doubt_probability)) {
-    this->time.After(
-        this->one_way_ms, [this, to, handler, late_ms = 2'000 + this->random.Below(10'000)] {
-          const FakeTarget* receiver = this->FindReachable(to);
-          if (receiver == nullptr || receiver->identity.id != to.target.id) return;
-          // Only the incarnation that has received the request carries it out.
-          this->time.After(late_ms, [this, to, handler, incarnation = receiver->identity] {
-            FakeTarget* target = this->FindReachable(to);
-            if (target != nullptr && target->identity == incarnation) handler(*target);
-          });
-        });
+    this->time.After(this->one_way_ms, [this, to, handler] {
+      const FakeTarget* receiver = this->FindReachable(to);
+      if (receiver == nullptr || receiver->identity.id != to.target.id) return;
+      this->CarryOutLate(to, receiver->identity, handler,
+                         this->least_late_ms + this->random.Below(10'000));
+    });
     this->time.After(kTimeoutMs, [this, on_response] { on_response(this->time.Now(), {}); });
     return;
   }
@@ -360,6 +363,28 @@
   });
 }
 
+void FakeTargets::CarryOutLate(const TargetEndpoint& to,
+                               const workload::TargetIncarnation& receiver, const Handler& handler,
+                               std::int64_t late_ms) {
+  this->time.After(late_ms, [this, to, receiver, handler] {
+    if (!this->late_requests_outlast_targets) {
+      FakeTarget* target = this->FindReachable(to);
+      if (target != nullptr && target->identity == receiver) handler(*target);
+      return;
+    }
+    const auto found = std::ranges::find_if(
+        this->targets, [&](const auto& entry) { return entry.second.address == to.address; });
+    if (found == this->targets.end() || found->first != receiver.id) return;
+    FakeTarget& target = found->second;
+    if (!target.is_up) {
+      return this->CarryOutLate(to, receiver, handler, 1 + this->random.Below(kConnectMs));
+    }
+    this->is_carrying_out_for_former = target.identity != receiver;
+    handler(target);
+    this->is_carrying_out_for_former = false;
+  });
+}
+
 void FakeTargets::Arrive(const TargetEndpoint& to, const Handler& handler,
                          const OnResponse& on_response, std::int64_t time_left_ms) {
   FakeTarget* target = this->FindReachable(to);
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -108,8 +108,17 @@
   void Poll(const TargetEndpoint& to, const PollRequest& request,
             OnPollResponse on_response) override;
 
-  /// Probability that a request gets no response and takes effect 2 to 12 s later.
+  /// Probability that a request gets no response and takes effect later: up to 10 s after this
+  /// time.
   double in_doubt_probability = 0;
+  std::int64_t least_late_ms = 2'000;
+  /// Such a request is carried out by whichever incarnation is up then, also by one that is cut
+  /// off. Otherwise only by the one that has received it, if it can be reached.
+  bool late_requests_outlast_targets = false;
+  /// Starts that were carried out for a former incarnation, and those of tasks whose end had been
+  /// acknowledged.
+  int late_starts = 0;
+  int late_repeats = 0;
   /// Duration of a run in ms, and the probability that a run fails.
   std::int64_t run_ms = 400;
   double failure_probability = 0;
@@ -140,6 +149,9 @@
  private:
   using Handler = std::function<CallResponse(FakeTarget&)>;
   void Deliver(const TargetEndpoint& to, const Handler& handler, const OnResponse& on_response);
+  /// Carries out a request after `late_ms`, or as soon as a target is up.
+  void CarryOutLate(const TargetEndpoint& to, const workload::TargetIncarnation& receiver,
+                    const Handler& handler, std::int64_t late_ms);
   /// Delivers a request that has arrived, or keeps it for the next incarnation while there is none.
   void Arrive(const TargetEndpoint& to, const Handler& handler, const OnResponse& on_response,
               std::int64_t time_left_ms);
@@ -180,6 +192,7 @@
   std::set<std::string> checkpoints;
   /// Tasks of which a done end has been acknowledged.
   std::set<workload::TaskRef> noted;
+  bool is_carrying_out_for_former = false;
 };
 
 }  // namespace mangoroad::controller
--- a/tests/auto/controller/tst_run_manager.cc
+++ b/tests/auto/controller/tst_run_manager.cc
@@ -138,7 +138,7 @@
   constexpr std::int64_t kStepMs = 50;
   std::size_t restarted = 0;
   // A target that is back before its lease of 3.5 s is over runs the task.
-  for (std::int64_t back_after_ms = 3'500; back_after_ms <= 14'000; back_after_ms += kStepMs) {
+  for (std::int64_t back_after_ms = 3'500; back_after_ms <= 32'000; back_after_ms += kStepMs) {
     INFO("back after " << back_after_ms << " ms");
     Simulation simulation(1, 2);
     simulation.targets.run_ms = 3'000;
--- a/tests/auto/controller/tst_start_history.cc
+++ b/tests/auto/controller/tst_start_history.cc
@@ -13,24 +13,64 @@
   return changes;
 }
 
+constexpr base::Duration kLive{};
+
+const StartWindows kWindows{std::chrono::seconds(5), std::chrono::seconds(2),
+                            std::chrono::seconds(16)};
+
 // Guards against a new leader that takes a start for settled while a request is on its way.
 TEST_CASE("starts count as recent within the window, and all do while earlier ones aren't known") {
   const workload::TaskRef task{"a", 0, 0, 1};
   const workload::TaskRef other{"a", 0, 0, 2};
-  StartHistory history(std::chrono::seconds(7));
+  StartHistory history(kWindows);
   history.OnRestored(At(10'000));
-  history.OnApplied(At(11'000), StartOf(task, 3));
-  CHECK(history.RecentAt(At(16'999)).MayContain(other, 1));
-  CHECK(history.RecentAt(At(17'000)).MayContain(task, 3));
-  CHECK(!history.RecentAt(At(17'000)).MayContain(task, 2));
-  CHECK(!history.RecentAt(At(17'000)).MayContain(other, 1));
-  CHECK(history.RecentAt(At(18'000)).MayContain(task, 3));
-  CHECK(!history.RecentAt(At(18'001)).MayContain(task, 3));
+  history.OnApplied(At(11'000), kLive, StartOf(task, 3));
+  CHECK(history.RecentAt(At(16'999)).Of(other, 1));
+  CHECK(history.RecentAt(At(17'000)).Of(task, 3));
+  CHECK(!history.RecentAt(At(17'000)).Of(task, 2));
+  CHECK(!history.RecentAt(At(17'000)).Of(other, 1));
+  CHECK(history.RecentAt(At(18'000)).Of(task, 3));
+  CHECK(!history.RecentAt(At(18'001)).Of(task, 3));
   // Old starts are dropped when others come.
-  history.OnApplied(At(18'100), StartOf(other, 1));
-  CHECK(history.RecentAt(At(18'200)).MayContain(other, 1));
+  history.OnApplied(At(18'100), kLive, StartOf(other, 1));
+  CHECK(history.RecentAt(At(18'200)).Of(other, 1));
   history.OnRestored(At(18'300));
-  CHECK(history.RecentAt(At(18'400)).MayContain(task, 9));
+  CHECK(history.RecentAt(At(18'400)).Of(task, 9));
+}
+
+// Guards against a new leader that counts less time than a request has left: it may have been sent
+// until the end of its window, or until the new term began.
+TEST_CASE("a request may be carried out for the longest delay after it may have been sent") {
+  const workload::TaskRef task{"a", 0, 0, 1};
+  StartHistory history(kWindows);
+  history.OnApplied(At(100'000), kLive, StartOf(task, 1));
+  CHECK(history.RecentAt(At(102'000)).Of(task, 1)->latest == At(118'000));
+  CHECK(history.RecentAt(At(106'000)).Of(task, 1)->latest == At(121'000));
+  CHECK(!history.RecentAt(At(106'000)).Of(task, 1)->is_unanswered);
+}
+
+// Guards against tasks that wait for half a minute after a restart of all replicas, which apply
+// their log again.
+TEST_CASE("starts that were read from the log count from when they were proposed") {
+  const workload::TaskRef task{"a", 0, 0, 1};
+  const workload::TaskRef other{"a", 0, 0, 2};
+  StartHistory history(kWindows);
+  history.OnApplied(At(100'000), std::chrono::seconds(40), StartOf(task, 1));
+  history.OnApplied(At(100'000), std::chrono::seconds(6), StartOf(other, 1));
+  CHECK(!history.RecentAt(At(100'500)).Of(task, 1));
+  CHECK(history.RecentAt(At(100'500)).Of(other, 1)->latest == At(115'000));
+}
+
+// Guards against a new leader that takes a start for answered of which the former leader had no
+// response (issue 43).
+TEST_CASE("a start that was committed again is outstanding for the longest delay") {
+  const workload::TaskRef task{"a", 0, 0, 1};
+  StartHistory history(kWindows);
+  history.OnApplied(At(100'000), kLive, StartOf(task, 1));
+  history.OnApplied(At(101'000), kLive, StartOf(task, 1));
+  CHECK(history.RecentAt(At(115'000)).Of(task, 1)->is_unanswered);
+  CHECK(history.RecentAt(At(115'000)).Of(task, 1)->latest == At(117'000));
+  CHECK(!history.RecentAt(At(122'001)).Of(task, 1));
 }
 
 }  // namespace
