Don't start a task elsewhere while a run of it is being stopped

Cause: a run that a target lists and the replicated state doesn't contain is asked to stop, but the task counts as waiting and is planned at once. The run goes on for up to stop-ms after the stop was answered, or longer if the stop is lost. Change: a task isn't started while a target is known to have a run of it, until the end of that run is committed, or for the longest lease after it was listed last if the target falls silent. Conclusion: needs no bound on late requests; it covers what the leader knows.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -77,6 +77,8 @@
 }
 
 bool RunManager::MayStillRun(base::TimePoint now, const TaskRef& task) const {
+  const auto orphan = this->orphans.lower_bound({task, 0});
+  if (orphan != this->orphans.end() && orphan->first.first == task) return true;
   const auto outstanding = this->outstanding_starts.LatestRunOf(task);
   if (!outstanding) return false;
   if (now < outstanding->latest_begin) return true;
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -290,7 +290,10 @@
 void RunManager::Tick(base::TimePoint now) {
   if (!this->leading) return;
   this->CheckLeases(now);
-  this->outstanding_starts.Forget(now - (this->LongestExpiry(now) - now));
+  const base::Duration longest_lease = this->LongestExpiry(now) - now;
+  this->outstanding_starts.Forget(now - longest_lease);
+  std::erase_if(this->orphans,
+                [&](const auto& entry) { return entry.second.listed_at + longest_lease < now; });
   this->statistics.LogIfDue(now, this->state.Ready());
   this->MigrateRuns(now);
   this->plan_due = true;
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -314,9 +314,13 @@
   std::vector<workload::End> ends;
   /// Runs passed to Conclude() whose ends aren't committed yet.
   std::set<std::pair<workload::TaskRef, std::uint32_t>> concluded;
-  /// Runs that a target lists but the replicated state doesn't contain, with the time of the last
-  /// stop request.
-  std::map<std::pair<workload::TaskRef, std::uint32_t>, base::TimePoint> orphans;
+  struct Orphan {
+    base::TimePoint stop_sent_at;
+    base::TimePoint listed_at;
+  };
+  /// Runs that a target lists but the replicated state doesn't contain, until their ends are
+  /// committed or their leases are over.
+  std::map<std::pair<workload::TaskRef, std::uint32_t>, Orphan> orphans;
   /// Committed best-effort runs that their targets haven't confirmed.
   std::set<std::pair<workload::TaskRef, std::uint32_t>> unconfirmed_starts;
   bool proposal_in_flight = false;
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -241,10 +241,11 @@
   const bool is_known = task != nullptr && task->phase == TaskPhase::kRunning &&
                         task->run == row.run && task->target == view.incarnation;
   if (!is_known) {
-    base::TimePoint& stop_sent_at = this->orphans[{row.task, row.run}];
-    if (stop_sent_at == base::TimePoint{} ||
-        now - stop_sent_at > this->settings.stop_retry_interval) {
-      if (this->SendStop(view, row.task, row.run)) stop_sent_at = now;
+    Orphan& orphan = this->orphans[{row.task, row.run}];
+    orphan.listed_at = now;
+    if (orphan.stop_sent_at == base::TimePoint{} ||
+        now - orphan.stop_sent_at > this->settings.stop_retry_interval) {
+      if (this->SendStop(view, row.task, row.run)) orphan.stop_sent_at = now;
     }
     return;
   }
--- a/tests/auto/controller/tst_late_starts.cc
+++ b/tests/auto/controller/tst_late_starts.cc
@@ -26,5 +26,42 @@
   CHECK(late_starts > 100);
 }
 
+// Guards against a task that starts elsewhere while the leader is stopping a run of it that a
+// target has turned out to have (issue 43).
+TEST_CASE("a task waits for the end of a run that its former target turns out to have") {
+  for (std::int64_t back_after_ms = 27'000; back_after_ms <= 31'000; back_after_ms += 500) {
+    INFO("back after " << back_after_ms << " ms");
+    Simulation simulation(1, 2);
+    simulation.targets.run_ms = 30'000;
+    simulation.targets.stop_ms = 3'000;
+    simulation.targets.late_requests_outlast_targets = true;
+    // Later than a start counts as outstanding, so that the task is free by then.
+    simulation.targets.least_late_ms = 20'000;
+    // The start's deadline is on the clock of an old incarnation, so a young one doesn't reject it.
+    simulation.RunFor(60'000);
+    simulation.targets.in_doubt_probability = 1;
+    simulation.Submit("0000000000000001", 1);
+    simulation.RunFor(60);
+    const workload::Task* task = simulation.log.state.FindTask({"0000000000000001", 0, 0, 0});
+    REQUIRE(task != nullptr);
+    const std::string first = task->target.id;
+    simulation.targets.in_doubt_probability = 0;
+    simulation.targets.SetIsolated("t0", true);
+    simulation.targets.SetIsolated("t1", true);
+    simulation.targets.Reboot(first, 600);
+    simulation.RunFor(back_after_ms);
+    simulation.targets.run_ms = 1'000;
+    // The other target has room again while the run is being stopped.
+    simulation.targets.SetIsolated(first, false);
+    simulation.RunFor(2'500);
+    simulation.targets.SetIsolated(first == "t0" ? "t1" : "t0", false);
+    simulation.jobs = {"0000000000000001"};
+    simulation.RunFor(40'000);
+    CHECK(simulation.targets.late_starts == 1);
+    for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+    CHECK(simulation.AllComplete());
+  }
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
