Keep the linter clean in the tests of late starts

Cause: clang-tidy reports optional values read without a check and a product that is widened. Conclusion: no change of what is tested.

--- a/tests/auto/controller/restart_day.h
+++ b/tests/auto/controller/restart_day.h
@@ -15,7 +15,8 @@
 inline constexpr std::uint32_t kTargets = 6;
 inline constexpr std::int64_t kRoundMs = 10'000;
 inline constexpr int kRounds = 6;
-inline constexpr std::int64_t kSubmitMs = 600;
+inline constexpr int kJobs = 100;
+inline constexpr std::int64_t kSubmitMs = 500;
 
 /// Targets restart under their ids and are cut off soon after, once or twice more behind the cut,
 /// while the leader changes and tasks run for seconds.
@@ -32,11 +33,11 @@
   }
 
   void Run() {
-    for (int i = 0; i < kRounds * kRoundMs / kSubmitMs; ++i) {
+    for (int i = 0; i < kJobs; ++i) {
       const std::string id = "0000000000000" + std::to_string(100 + i);
       this->simulation.jobs.push_back(id);
       this->simulation.time.After(
-          i * 500, [this, id] { this->simulation.Submit(id, 1 + this->random.Below(6)); });
+          kSubmitMs * i, [this, id] { this->simulation.Submit(id, 1 + this->random.Below(6)); });
     }
     for (int round = 0; round < kRounds; ++round) this->PlanRound(round * kRoundMs);
     this->simulation.RunFor(kRounds * kRoundMs);
--- a/tests/auto/controller/tst_start_history.cc
+++ b/tests/auto/controller/tst_start_history.cc
@@ -15,6 +15,12 @@
 
 constexpr base::Duration kLive{};
 
+/// The request of run 1; none of them is outstanding by default.
+StartHistory::Recent::Request RequestAt(const StartHistory& history, base::TimePoint now,
+                                        const workload::TaskRef& task) {
+  return history.RecentAt(now).Of(task, 1).value_or(StartHistory::Recent::Request{});
+}
+
 const StartWindows kWindows{std::chrono::seconds(5), std::chrono::seconds(2),
                             std::chrono::seconds(16)};
 
@@ -44,9 +50,9 @@
   const workload::TaskRef task{"a", 0, 0, 1};
   StartHistory history(kWindows);
   history.OnApplied(At(100'000), kLive, StartOf(task, 1));
-  CHECK(history.RecentAt(At(102'000)).Of(task, 1)->latest == At(118'000));
-  CHECK(history.RecentAt(At(106'000)).Of(task, 1)->latest == At(121'000));
-  CHECK(!history.RecentAt(At(106'000)).Of(task, 1)->is_unanswered);
+  CHECK(RequestAt(history, At(102'000), task).latest == At(118'000));
+  CHECK(RequestAt(history, At(106'000), task).latest == At(121'000));
+  CHECK(!RequestAt(history, At(106'000), task).is_unanswered);
 }
 
 // Guards against tasks that wait for half a minute after a restart of all replicas, which apply
@@ -58,7 +64,7 @@
   history.OnApplied(At(100'000), std::chrono::seconds(40), StartOf(task, 1));
   history.OnApplied(At(100'000), std::chrono::seconds(6), StartOf(other, 1));
   CHECK(!history.RecentAt(At(100'500)).Of(task, 1));
-  CHECK(history.RecentAt(At(100'500)).Of(other, 1)->latest == At(115'000));
+  CHECK(RequestAt(history, At(100'500), other).latest == At(115'000));
 }
 
 // Guards against a new leader that takes a start for answered of which the former leader had no
@@ -68,8 +74,8 @@
   StartHistory history(kWindows);
   history.OnApplied(At(100'000), kLive, StartOf(task, 1));
   history.OnApplied(At(101'000), kLive, StartOf(task, 1));
-  CHECK(history.RecentAt(At(115'000)).Of(task, 1)->is_unanswered);
-  CHECK(history.RecentAt(At(115'000)).Of(task, 1)->latest == At(117'000));
+  CHECK(RequestAt(history, At(115'000), task).is_unanswered);
+  CHECK(RequestAt(history, At(115'000), task).latest == At(117'000));
   CHECK(!history.RecentAt(At(122'001)).Of(task, 1));
 }
 
