Look outstanding starts up by target, and don't hold those of departed targets

By reading: a task whose start a departed target hadn't answered waited for the longest request delay. Change: OutstandingStarts has an index by target. A start at a target that has taken its leave, or at whose address another one responds, isn't waited for, as before: its next incarnation is registered only under a higher fence. The check of starts moves to former_runs.cc, where it belongs. Measured: "a start that a departed target hasn't answered is soon made elsewhere" fails without the change of MayStillRun. tst_controller passes (77 cases).

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -6,6 +6,9 @@
 // lists without it. A start that got no response may also be carried out by the incarnation after
 // that one, so its run isn't over before OutstandingStarts says that it can't begin any more.
 #include <algorithm>
+#include <optional>
+#include <set>
+#include <vector>
 
 #include "controller/run_manager.h"
 #include "log/log.h"
@@ -20,6 +23,9 @@
 
 namespace {
 
+/// Minimum time between two log lines about starts that are held back.
+constexpr base::Duration kHeldBackLogInterval = std::chrono::seconds(1);
+
 bool IsListed(const dispatch::TargetLists& lists, const TaskRef& task, std::uint32_t run) {
   const auto is_run = [&](const auto& row) { return row.run == run && row.task == task; };
   return std::ranges::any_of(lists.running, is_run) || std::ranges::any_of(lists.ends, is_run);
@@ -76,11 +82,18 @@
   return latest ? this->LongestExpiry(*latest) : base::TimePoint{};
 }
 
+bool RunManager::HasLeft(const std::string& target_id) const {
+  if (this->state.Targets().contains(target_id)) return false;
+  return this->state.HasRetired(target_id) ||
+         std::ranges::any_of(this->replaced,
+                             [&](const auto& target) { return target.id == target_id; });
+}
+
 bool RunManager::MayStillRun(base::TimePoint now, const TaskRef& task) const {
   const auto orphan = this->orphans.lower_bound({task, 0});
   if (orphan != this->orphans.end() && orphan->first.first == task) return true;
   const auto outstanding = this->outstanding_starts.LatestRunOf(task);
-  if (!outstanding) return false;
+  if (!outstanding || this->HasLeft(outstanding->target_id)) return false;
   if (now < outstanding->latest_begin) return true;
   const TargetView* view = this->targets.Find(outstanding->target_id);
   const bool responds = view != nullptr && !view->replaced_at && view->is_fenced &&
@@ -89,6 +102,29 @@
   return !responds && now < this->HeldUntil(task, outstanding->run);
 }
 
+void RunManager::HoldBackStarts(base::TimePoint now, std::vector<workload::Start>& starts) {
+  std::set<workload::StepRef> held_gangs;
+  std::optional<workload::Start> first;
+  const auto is_held = [&](const workload::Start& start) {
+    if (!this->MayStillRun(now, start.task)) return false;
+    if (!first) first = start;
+    const workload::StepSpec* spec = this->state.SpecOf(start.task);
+    if (spec != nullptr && spec->gang) held_gangs.insert(start.task.Step());
+    return true;
+  };
+  const std::size_t held = std::erase_if(starts, is_held);
+  if (!first) return;
+  // The members of a gang start together.
+  std::erase_if(starts, [&](const auto& start) { return held_gangs.contains(start.task.Step()); });
+  if (now < this->next_held_back_log_at) return;
+  this->next_held_back_log_at = now + kHeldBackLogInterval;
+  log::Info(log::Category::kJobs, "starts held back",
+            {{"starts", held},
+             {"first_task", workload::ToText(first->task)},
+             {"run", first->run},
+             {"reason", "an earlier run may go on"}});
+}
+
 base::TimePoint RunManager::LongestExpiry(base::TimePoint now) const {
   const dispatch::LeaseDurations durations{this->settings.longest_lease,
                                            this->settings.lease.margin};
--- a/src/libs/controller/outstanding_starts.h
+++ b/src/libs/controller/outstanding_starts.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -17,7 +18,7 @@
 /// the present incarnation lists.
 class OutstandingStarts {
  public:
-  void Clear() { this->starts.clear(); }
+  void Clear();
   /// A request was sent. It is carried out until `latest`, or never.
   void OnSent(base::TimePoint latest, const std::string& target_id, const workload::TaskRef& task,
               std::uint32_t run);
@@ -53,7 +54,13 @@
     [[nodiscard]] base::TimePoint Latest() const;
   };
 
-  std::map<std::pair<workload::TaskRef, std::uint32_t>, Entry> starts;
+  using Key = std::pair<workload::TaskRef, std::uint32_t>;
+  using Starts = std::map<Key, Entry>;
+  Starts::iterator Erase(Starts::iterator start);
+
+  Starts starts;
+  /// Those of each target: thousands of responses a second are looked up here.
+  std::map<std::string, std::set<Key>> by_target;
 };
 
 }  // namespace mangoroad::controller
--- a/src/libs/controller/run_logging.cc
+++ b/src/libs/controller/run_logging.cc
@@ -1,8 +1,4 @@
 // What a leader logs about waiting and starting tasks.
-#include <optional>
-#include <set>
-#include <vector>
-
 #include "controller/run_manager.h"
 #include "log/log.h"
 
@@ -33,29 +29,6 @@
              {"largest_free_cpu", backlog.largest_free_cpu}});
 }
 
-void RunManager::HoldBackStarts(base::TimePoint now, std::vector<workload::Start>& starts) {
-  std::set<workload::StepRef> held_gangs;
-  std::optional<workload::Start> first;
-  const auto is_held = [&](const workload::Start& start) {
-    if (!this->MayStillRun(now, start.task)) return false;
-    if (!first) first = start;
-    const workload::StepSpec* spec = this->state.SpecOf(start.task);
-    if (spec != nullptr && spec->gang) held_gangs.insert(start.task.Step());
-    return true;
-  };
-  const std::size_t held = std::erase_if(starts, is_held);
-  if (!first) return;
-  // The members of a gang start together.
-  std::erase_if(starts, [&](const auto& start) { return held_gangs.contains(start.task.Step()); });
-  if (now < this->next_held_back_log_at) return;
-  this->next_held_back_log_at = now + kBacklogLogInterval;
-  log::Info(log::Category::kJobs, "starts held back",
-            {{"starts", held},
-             {"first_task", workload::ToText(first->task)},
-             {"run", first->run},
-             {"reason", "an earlier run may go on"}});
-}
-
 void RunManager::NoteReadySteps(base::TimePoint now, const workload::JobId& job,
                                 std::uint32_t occurrence) {
   const workload::Job* found = this->state.FindJob(job);
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -258,6 +258,8 @@
                                              base::TimePoint since) const;
   /// Until when a later incarnation of its silent target may hold a run; the epoch when none can.
   [[nodiscard]] base::TimePoint HeldUntil(const workload::TaskRef& task, std::uint32_t run) const;
+  /// True when a target has taken its leave, or another one responds at its address.
+  [[nodiscard]] bool HasLeft(const std::string& target_id) const;
   /// True while an earlier run of a waiting task may begin, or go on, at a target.
   [[nodiscard]] bool MayStillRun(base::TimePoint now, const workload::TaskRef& task) const;
   /// Removes the starts of tasks of which an earlier run may go on.
--- a/tests/auto/controller/tst_late_starts.cc
+++ b/tests/auto/controller/tst_late_starts.cc
@@ -63,5 +63,28 @@
   }
 }
 
+// Guards against a task that waits for the longest request delay for a target that has left.
+TEST_CASE("a start that a departed target hasn't answered is soon made elsewhere") {
+  Simulation simulation(1, 2);
+  simulation.targets.run_ms = 1'000;
+  simulation.targets.late_requests_outlast_targets = true;
+  simulation.RunFor(1'600);
+  simulation.targets.in_doubt_probability = 1;
+  simulation.Submit("0000000000000001", 1);
+  simulation.RunFor(60);
+  simulation.targets.in_doubt_probability = 0;
+  const workload::Task* task = simulation.log.state.FindTask({"0000000000000001", 0, 0, 0});
+  REQUIRE(task != nullptr);
+  const workload::TargetIncarnation target = task->target;
+  simulation.RunFor(700);
+  simulation.leaders.back()->run_manager.Leave(simulation.time.Now(), target.id, target.number,
+                                               [](bool) {});
+  simulation.targets.Remove(target.id);
+  simulation.jobs = {"0000000000000001"};
+  simulation.RunFor(6'000);
+  for (const std::string& violation : simulation.targets.violations) FAIL_CHECK(violation);
+  CHECK(simulation.AllComplete());
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
