--- a/tests/soak/restarts/main.cc
+++ b/tests/soak/restarts/main.cc
@@ -235,8 +235,9 @@
     const auto done = std::ranges::count(runs, "done", &soak::RunRecord::how);
     std::vector<soak::DoubleRun> cases = soak::FindDoubleRuns(runs, this->record.Now());
     for (const soak::DoubleRun& found : cases) this->record.Result(found.text);
-    if (this->options.reports_open_fault)
+    if (this->options.reports_open_fault) {
       std::erase_if(cases, [](const soak::DoubleRun& found) { return !found.is_overlap; });
+    }
     const auto late = std::ranges::count_if(runs, [](const soak::RunRecord& run) {
       return run.order.is_late && run.order.incarnation != run.incarnation;
     });
