--- a/review/lab-2/cases.h
+++ b/review/lab-2/cases.h
@@ -16,4 +16,7 @@
 /// A worker leaves orders unanswered for 2 s, the start of a task that lasts among them.
 int RunLate(Record& record, bool has_trouble);
 
+/// A worker crashes after its task is done, and its next incarnation carries out a late start.
+int RunDone(Record& record, bool has_trouble);
+
 }  // namespace lab2
--- a/review/lab-2/main.cc
+++ b/review/lab-2/main.cc
@@ -13,7 +13,8 @@
       {"leave", lab2::RunLeave},
       {"route", lab2::RunRoute},
       {"beat", lab2::RunBeat},
-      {"late", lab2::RunLate}};
+      {"late", lab2::RunLate},
+      {"done", lab2::RunDone}};
   if (argc != 3 || !cases.contains(argv[1])) return lab2::kCouldNotRun;
   const char* trouble = std::getenv("TROUBLE");
   const bool has_trouble = trouble == nullptr || std::strcmp(trouble, "0") != 0;
--- a/review/lab-2/worker.cc
+++ b/review/lab-2/worker.cc
@@ -253,7 +253,9 @@
 
 Response Worker::Hold(Lock& lock, const json& call) {
   const std::int64_t reached = call.value("ack-seq", std::int64_t{0});
-  std::erase_if(this->ends, [&](const End& end) { return end.number <= reached; });
+  const std::size_t forgotten =
+      std::erase_if(this->ends, [&](const End& end) { return end.number <= reached; });
+  if (forgotten > 0) this->Note("ends up to " + std::to_string(reached) + " are taken note of");
   if (call.contains("deadline-ms")) this->Extend(call["deadline-ms"].get<std::int64_t>());
   const int mine = this->incarnation;
   this->changed.wait_for(lock, milliseconds(call.value("wait-ms", std::int64_t{0})), [&] {
@@ -296,6 +298,19 @@
   return this->Describe();
 }
 
+void Worker::Crash() {
+  const Lock lock(this->mutex);
+  this->EndAll("crashed");
+  this->is_up = false;
+  this->Note("crashes");
+  this->changed.notify_all();
+}
+
+bool Worker::AllEndsAcknowledged() {
+  const Lock lock(this->mutex);
+  return this->last_end > 0 && this->ends.empty();
+}
+
 /// Sends a heartbeat, or the leave, without the lock.
 Response Worker::Beat(Lock& lock, const std::string& method) {
   ++this->sequence;
--- a/review/lab-2/worker.h
+++ b/review/lab-2/worker.h
@@ -68,6 +68,10 @@
   /// Reports `draining`, serves on for `drain_ms` after the acknowledgement, takes its leave and
   /// ends. Returns when it has ended.
   void Leave(int drain_ms);
+  /// All that runs ends; the process is gone without a word.
+  void Crash();
+  /// True when the ack-seq of a poll has reached all ends.
+  [[nodiscard]] bool AllEndsAcknowledged();
   /// Carries out a call that got no answer.
   Response CarryOut(const Request& request);
   [[nodiscard]] std::vector<Run> Runs();
