Free a task only on its target's evidence that an unanswered start can't begin

Cause: RunManager took 2 s for the time in which the start of a long-running task may still be carried out, and then a list without the run for proof that it never begins. PROTOCOL.md: a call without a response "may also be executed seconds later, after newer calls".

Change: OutstandingStarts keeps for each unanswered start its fence and deadline, and whether its incarnation has ruled it out: by an answer under a higher fence, by a clock past the deadline, by a confirmed stop, or because the run has been there. An unanswered start of a long-running task isn't repeated: the next poll raises the fence and settles it. A target that left a start unanswered for good is avoided like one that refused it. "run concluded" says on which evidence.

Conclusion: the certainty lies with one incarnation.

--- a/src/libs/controller/former_runs.cc
+++ b/src/libs/controller/former_runs.cc
@@ -92,14 +92,26 @@
 bool RunManager::MayStillRun(base::TimePoint now, const TaskRef& task) const {
   const auto orphan = this->orphans.lower_bound({task, 0});
   if (orphan != this->orphans.end() && orphan->first.first == task) return true;
-  const auto outstanding = this->outstanding_starts.LatestRunOf(task);
-  if (!outstanding || this->HasLeft(outstanding->target_id)) return false;
-  if (now < outstanding->latest_begin) return true;
-  const TargetView* view = this->targets.Find(outstanding->target_id);
-  const bool responds = view != nullptr && !view->replaced_at && view->is_fenced &&
-                        view->unanswered_requests == 0 &&
-                        view->last_contact >= outstanding->latest_begin;
-  return !responds && now < this->HeldUntil(task, outstanding->run);
+  return std::ranges::any_of(this->outstanding_starts.RunsOf(task), [&](const auto& outstanding) {
+    return this->MayStillRun(now, task, outstanding);
+  });
+}
+
+bool RunManager::MayStillRun(base::TimePoint now, const TaskRef& task,
+                             const OutstandingStarts::Run& outstanding) const {
+  if (this->HasLeft(outstanding.target.id)) return false;
+  const TargetView* view = this->targets.Find(outstanding.target.id);
+  const bool is_same = view != nullptr && view->incarnation == outstanding.target;
+  // When the leases have expired, the deadline of the request has passed, too.
+  if (is_same && !outstanding.is_ruled_out && now < view->lease.SafeExpiry()) return true;
+  const bool responds =
+      view != nullptr && !view->replaced_at && view->is_fenced && view->unanswered_requests == 0;
+  const workload::StepSpec* spec = this->state.SpecOf(task);
+  const bool is_long_running = spec != nullptr && spec->long_running;
+  if (is_long_running && responds && outstanding.is_ruled_out) return false;
+  if (now < outstanding.latest_begin) return true;
+  const bool is_settled = responds && view->last_contact >= outstanding.latest_begin;
+  return !is_settled && now < this->HeldUntil(task, outstanding.run);
 }
 
 void RunManager::HoldBackStarts(base::TimePoint now, std::vector<workload::Start>& starts) {
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -105,7 +105,7 @@
     // See LatestExecution for long-running tasks.
     const base::TimePoint latest =
         is_long_running ? std::min(now, request->latest) : request->latest;
-    this->outstanding_starts.OnSent(latest, task.target.id, ref, task.run);
+    this->outstanding_starts.OnSent({.target = task.target, .latest = latest}, ref, task.run);
     if (request->is_unanswered) this->outstanding_starts.OnUnanswered(ref, task.run);
   };
   for (const auto& [target, tasks] : this->state.RunningOn()) {
@@ -143,14 +143,19 @@
 }
 
 void RunManager::Conclude(const TaskRef& task, std::uint32_t run, const TargetIncarnation& target,
-                          RunEnd how) {
+                          EndEvidence evidence) {
   if (!this->concluded.emplace(task, run).second) return;
+  const bool has_begun = evidence != EndEvidence::kNotSent && evidence != EndEvidence::kRefused &&
+                         evidence != EndEvidence::kRuledOut;
+  const RunEnd how = has_begun ? RunEnd::kLost : RunEnd::kRefused;
   log::Info(log::Category::kJobs, "run concluded",
             {{"task", workload::ToText(task)},
              {"run", run},
              {"target", target.id},
              {"birth", target.number},
-             {"how", base::NameOf(workload::kRunEndNames, how)}});
+             {"how", base::NameOf(workload::kRunEndNames, how)},
+             {"evidence", base::NameOf(kEndEvidenceNames, evidence)},
+             {"fence", this->targets.Find(target.id) ? this->targets.Find(target.id)->fence : 0}});
   this->ends.push_back({task, run, target, how, {}, 0});
 }
 
@@ -198,7 +203,7 @@
     held += is_held ? 1 : 0;
     if (is_held || this->concluded.contains({task, run.run})) continue;
     given_up += 1;
-    this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
+    this->Conclude(task, run.run, view.incarnation, EndEvidence::kLeaseExpired);
   }
   if (given_up == 0) return;
   log::Warning(log::Category::kJobs, "leases expired",
@@ -229,7 +234,7 @@
       const bool has_ended = has_record ? this->HasFormerRunEnded(now, target, task)
                                         : this->HasUnregisteredRunEnded(now, target, task, since);
       if (!has_ended) continue;
-      this->Conclude(task, this->state.FindTask(task)->run, target, RunEnd::kLost);
+      this->Conclude(task, this->state.FindTask(task)->run, target, EndEvidence::kIncarnationEnded);
     }
   }
 }
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -71,7 +71,7 @@
   /// A start isn't requested any more this long after it was committed.
   base::Duration start_window = std::chrono::seconds(5);
   /// A request without a response is given up no later than this: it may wait 1 s for its delegate
-  /// and 700 ms for a connection.
+  /// and 700 ms for a connection. A later incarnation can't receive it after that.
   base::Duration longest_response_time = std::chrono::seconds(2);
   /// A request that gets no response is carried out no later than this. It arrives within 4 s (1 s
   /// at its delegate, 3 s until a connection drops what it couldn't send), and the platform's kinds
@@ -87,6 +87,24 @@
 
 struct TargetContact;
 
+/// Why a run that its target doesn't list as ended is over, or never begins.
+enum class EndEvidence : std::uint8_t {
+  kNotSent,           ///< no request of its start was sent, or all were answered without effect
+  kRefused,           ///< its target has refused the only request of its start
+  kRuledOut,          ///< its target can't begin it any more, see OutstandingStarts
+  kNotListed,         ///< its target, which knows of it, doesn't list it any more
+  kLeaseExpired,      ///< the leases of its silent target have expired
+  kIncarnationEnded,  ///< its incarnation of the target has ended
+};
+inline constexpr base::NameTable<EndEvidence, 6> kEndEvidenceNames{{
+    {EndEvidence::kNotSent, "not-sent"},
+    {EndEvidence::kRefused, "refused"},
+    {EndEvidence::kRuledOut, "ruled-out"},
+    {EndEvidence::kNotListed, "not-listed"},
+    {EndEvidence::kLeaseExpired, "lease-expired"},
+    {EndEvidence::kIncarnationEnded, "incarnation-ended"},
+}};
+
 /// Contents of one announcement by a target.
 struct Announcement {
   workload::TargetRecord target;
@@ -143,6 +161,8 @@
   void OnSuperseded(const workload::SupersededRun& superseded);
   bool NeedsPoll(base::TimePoint now, const dispatch::TargetView& view,
                  const workload::TargetRecord& record) const;
+  /// True when the next poll has to show whether unanswered starts have begun.
+  [[nodiscard]] bool HasRunsToSettle(const dispatch::TargetView& view) const;
   /// Sends a poll to a target when one is due.
   void SendPollIfDue(base::TimePoint now, dispatch::TargetView& view);
   /// True while a poll waits for the responses to starts; see AcknowledgementDue.
@@ -158,9 +178,8 @@
   void ApplyLists(base::TimePoint now, dispatch::TargetView& view, base::TimePoint sent_at,
                   Fence sent_fence, const dispatch::TargetLists& lists);
   /// What becomes of a run that a complete list doesn't contain.
-  void ApplyAbsence(base::TimePoint now, const dispatch::TargetView& view,
-                    const workload::TaskRef& task, dispatch::RunView& run, base::TimePoint sent_at,
-                    bool first_contact);
+  void ApplyAbsence(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task,
+                    dispatch::RunView& run, base::TimePoint sent_at, bool first_contact);
   void ApplyRunning(base::TimePoint now, dispatch::TargetView& view,
                     const dispatch::RunningRow& row);
   /// Requests or a poll may have become due at this target.
@@ -186,9 +205,16 @@
   void MarkObsolete(const workload::TaskRef& task, std::uint32_t run,
                     const workload::TargetIncarnation& target);
   void SendStart(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task);
-  /// Until when a start request that is sent now may be carried out, if it gets no response.
+  /// Until when a later incarnation is taken to carry out a start request that is sent now. A
+  /// long-running task has to run again within 6 s of its last run (rule LOST), which is sooner
+  /// than late requests are over, so for these it counts only what arrives there in time.
   [[nodiscard]] base::TimePoint LatestExecution(base::TimePoint now,
                                                 const dispatch::RunView& run) const;
+  [[nodiscard]] static bool IsLongRunning(const dispatch::RunView& run);
+  /// True for an unanswered start that isn't repeated: a poll with a higher fence shows whether the
+  /// run has begun, and keeps it from beginning later. Tasks that end by themselves would have to
+  /// wait for later incarnations as well, so that their starts are repeated instead.
+  [[nodiscard]] static bool AwaitsLists(const dispatch::RunView& run);
   /// The latest request of the run got no response. The start is committed again, so that the next
   /// leader knows of the request.
   void NoteUnanswered(const workload::TargetIncarnation& target, const workload::TaskRef& task,
@@ -262,6 +288,8 @@
   [[nodiscard]] bool HasLeft(const std::string& target_id) const;
   /// True while an earlier run of a waiting task may begin, or go on, at a target.
   [[nodiscard]] bool MayStillRun(base::TimePoint now, const workload::TaskRef& task) const;
+  [[nodiscard]] bool MayStillRun(base::TimePoint now, const workload::TaskRef& task,
+                                 const OutstandingStarts::Run& outstanding) const;
   /// Removes the starts of tasks of which an earlier run may go on.
   void HoldBackStarts(base::TimePoint now, std::vector<workload::Start>& starts);
   // former_runs.cc
@@ -287,7 +315,7 @@
                                        const workload::TaskRef& task) const;
   /// Queues the end of a run that its target hasn't listed; a repeated call has no effect.
   void Conclude(const workload::TaskRef& task, std::uint32_t run,
-                const workload::TargetIncarnation& target, workload::RunEnd how);
+                const workload::TargetIncarnation& target, EndEvidence evidence);
   std::vector<workload::DueOccurrence> DueOccurrences(std::int64_t time_of_day_ms) const;
   void ProposeChanges(base::TimePoint now);
   void LogBacklog(base::TimePoint now);
--- a/src/libs/controller/run_requests.cc
+++ b/src/libs/controller/run_requests.cc
@@ -14,7 +14,6 @@
 using dispatch::TargetView;
 using metrics::Activity;
 using metrics::ActivityMeter;
-using workload::RunEnd;
 using workload::TargetIncarnation;
 using workload::TargetRecord;
 using workload::Task;
@@ -61,7 +60,7 @@
     if (run.is_obsolete || run.is_migrating) {
       more = true;
       if (run.start_request == StartRequestState::kToSend && !run.is_in_doubt) {
-        this->Conclude(task, run.run, view.incarnation, RunEnd::kRefused);
+        this->Conclude(task, run.run, view.incarnation, EndEvidence::kNotSent);
       } else if (!run.stop_sent || now - *run.stop_sent > this->settings.stop_retry_interval) {
         if (this->SendStop(view, task, run.run)) run.stop_sent = now;
       }
@@ -74,7 +73,8 @@
       // An overdue acknowledgement goes first, unless this is the start it waits for: one of
       // unknown outcome, which has to be repeated.
       const bool is_held_back = !run.is_in_doubt && IsAcknowledgementOverdue(now, view);
-      const bool may_send = now >= run.requested_at && !is_given_up && !is_silent && !is_held_back;
+      const bool may_send = now >= run.requested_at && !is_given_up && !is_silent &&
+                            !is_held_back && !AwaitsLists(run);
       if (may_send) this->SendStart(now, view, task);
       more = more || run.start_request == StartRequestState::kToSend;
     }
@@ -116,8 +116,8 @@
   RunView& run = view.runs.at(task);
   run.start_request = StartRequestState::kSent;
   run.requested_at = now;
-  this->outstanding_starts.OnSent(this->LatestExecution(now, run), view.incarnation.id, task,
-                                  run.run);
+  this->outstanding_starts.OnSent(
+      {view.incarnation, view.fence, *deadline, this->LatestExecution(now, run)}, task, run.run);
   StartRequest request;
   request.task = task;
   request.run = run.run;
@@ -135,11 +135,16 @@
 }
 
 base::TimePoint RunManager::LatestExecution(base::TimePoint now, const RunView& run) const {
-  // A long-running task has to run again within seconds of its last run, which is sooner than late
-  // requests are over.
-  const bool is_long_running = run.spec != nullptr && run.spec->long_running;
-  return now + (is_long_running ? this->settings.longest_response_time
-                                : this->settings.longest_request_delay);
+  return now + (IsLongRunning(run) ? this->settings.longest_response_time
+                                   : this->settings.longest_request_delay);
+}
+
+bool RunManager::IsLongRunning(const RunView& run) {
+  return run.spec != nullptr && run.spec->long_running;
+}
+
+bool RunManager::AwaitsLists(const RunView& run) {
+  return run.start_request == StartRequestState::kToSend && run.is_in_doubt && IsLongRunning(run);
 }
 
 void RunManager::NoteUnanswered(const TargetIncarnation& target, const TaskRef& task,
@@ -183,6 +188,8 @@
   switch (response.status) {
     case CallStatus::kDone:
     case CallStatus::kStaleRun:
+      // Earlier requests that are carried out now have no effect.
+      if (!is_foreign) this->outstanding_starts.RuleOut(task, run_number);
       run.start_request = StartRequestState::kConfirmed;
       run.confirmed_at = now;
       run.progressed_at = now;
@@ -200,7 +207,7 @@
         run.start_request = StartRequestState::kToSend;
         run.requested_at = now + this->settings.retry_delay;
       } else {
-        this->Conclude(task, run_number, target, RunEnd::kRefused);
+        this->Conclude(task, run_number, target, EndEvidence::kRefused);
       }
       break;
     case CallStatus::kOtherIncarnation:
@@ -224,7 +231,7 @@
     case CallStatus::kNotSent:
       this->OnNoResponse(*view);
       if (response.status == CallStatus::kNotSent && !run.is_in_doubt) {
-        this->Conclude(task, run_number, target, RunEnd::kRefused);
+        this->Conclude(task, run_number, target, EndEvidence::kNotSent);
         break;
       }
       [[fallthrough]];
@@ -261,6 +268,7 @@
   if (view == nullptr || view->incarnation != target) return;
   if (response.clock) view->lease.OnClock(now, *response.clock);
   if (response.status == CallStatus::kDone) {
+    this->outstanding_starts.RuleOut(task, run_number);
     this->OnFormerRunStopped(now, *view, task, run_number);
   }
   if (response.status == CallStatus::kFenced) this->OnFenced(*view, sent_fence);
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -15,7 +15,6 @@
 using dispatch::TargetView;
 using metrics::Activity;
 using metrics::ActivityMeter;
-using workload::RunEnd;
 using workload::TargetIncarnation;
 using workload::TargetRecord;
 using workload::Task;
@@ -112,12 +111,23 @@
   return view.poll.withheld_since && now - *view.poll.withheld_since > kMaxWithheld;
 }
 
+bool RunManager::HasRunsToSettle(const TargetView& view) const {
+  return std::ranges::any_of(view.runs, [this](const auto& entry) {
+    const auto& [task, run] = entry;
+    return AwaitsLists(run) && this->outstanding_starts.MayBeginThere(task, run.run);
+  });
+}
+
 void RunManager::SendPoll(base::TimePoint now, TargetView& view, const TargetRecord& record) {
   if (!this->context.MayLead()) return;
   dispatch::PollState& poll = view.poll;
   poll.in_flight = true;
   PollRequest request;
-  if (view.fence == 0) view.fence = this->fences.Raise(view.incarnation.id);
+  const bool settles_runs = this->HasRunsToSettle(view);
+  if (view.fence == 0 || settles_runs) {
+    view.fence = this->fences.Raise(view.incarnation.id);
+    poll.is_acknowledging = false;
+  }
   request.fence = view.fence;
   request.acknowledged = AcknowledgementDue(view, record);
   poll.is_acknowledging = poll.is_acknowledging || request.acknowledged > 0;
@@ -128,7 +138,7 @@
   if (request.deadline && lease_left && !view.runs.empty()) {
     this->statistics.OnLeaseRenewed(*lease_left);
   }
-  if (view.is_fenced && !view.runs.empty() && view.former.empty()) {
+  if (view.is_fenced && !view.runs.empty() && view.former.empty() && !settles_runs) {
     request.wait = view.is_near_slo ? this->settings.slo_poll_wait : this->settings.poll_wait;
   }
   const std::uint64_t sent_generation = this->generation;
@@ -256,6 +266,7 @@
     run.confirmed_at = now;
     // The only request that was sent has been carried out.
     if (!run.is_in_doubt) this->outstanding_starts.OnAnswered(row.task, row.run);
+    this->outstanding_starts.RuleOut(row.task, row.run);
     this->unconfirmed_starts.erase({row.task, row.run});
   }
   NoteProgress(now, run, row);
@@ -292,6 +303,7 @@
     listed.emplace_back(&row.task, row.run);
     if (row.number <= std::max(poll.listed, acknowledged)) continue;
     poll.listed = row.number;
+    this->outstanding_starts.RuleOut(row.task, row.run);
     this->ends.push_back(
         {row.task, row.run, view.incarnation, row.how, row.checkpoint, row.number});
   }
@@ -300,6 +312,7 @@
   const bool has_new_rates = this->UpdateThrottling(now, view);
   view.has_pending_requests = view.has_pending_requests || has_new_rates || first_contact;
   view.is_fenced = view.is_fenced || first_contact;
+  this->outstanding_starts.OnResponded(sent_at, {view.incarnation, sent_fence, lists.clock});
   if (lists.is_partial) return;
   this->NoteFormerRuns(view, sent_at, lists);
   const auto by_value = [](const ListedRun& row) { return std::tie(*row.first, row.second); };
@@ -308,13 +321,14 @@
     if (std::ranges::binary_search(listed, std::tie(task, run.run), {}, by_value)) continue;
     this->ApplyAbsence(now, view, task, run, sent_at, first_contact);
   }
-  this->outstanding_starts.OnResponded(sent_at, view.incarnation.id);
 }
 
-void RunManager::ApplyAbsence(base::TimePoint now, const TargetView& view, const TaskRef& task,
+void RunManager::ApplyAbsence(base::TimePoint now, TargetView& view, const TaskRef& task,
                               RunView& run, base::TimePoint sent_at, bool first_contact) {
+  // A later incarnation isn't waited for with a long-running task, see LatestExecution.
   const auto latest_begin = this->outstanding_starts.LatestBegin(task, run.run);
-  const bool may_begin = latest_begin && sent_at < *latest_begin;
+  const bool may_begin_later = !IsLongRunning(run) && latest_begin && sent_at < *latest_begin;
+  const bool may_begin = may_begin_later || this->outstanding_starts.MayBeginThere(task, run.run);
   if (first_contact && run.start_request == StartRequestState::kSent) {
     // Requests with a lower fence no longer have any effect on this incarnation, so the run hasn't
     // begun here. A later incarnation may begin it, so the start is repeated here.
@@ -323,14 +337,20 @@
     run.committed_at = now;
     run.is_in_doubt = may_begin;
     run.is_obsolete = run.is_obsolete || !may_begin;
-    if (may_begin) this->NoteUnanswered(view.incarnation, task, run.run);
+    if (may_begin) {
+      this->NoteUnanswered(view.incarnation, task, run.run);
+    } else {
+      this->Conclude(task, run.run, view.incarnation, EndEvidence::kRuledOut);
+    }
   } else if (may_begin) {
     return;
   } else if (run.start_request == StartRequestState::kToSend && run.is_in_doubt) {
     run.is_in_doubt = false;
     run.is_obsolete = true;
+    this->targets.OnRefused(view, now);
+    this->Conclude(task, run.run, view.incarnation, EndEvidence::kRuledOut);
   } else if (run.start_request == StartRequestState::kConfirmed && run.confirmed_at < sent_at) {
-    this->Conclude(task, run.run, view.incarnation, RunEnd::kLost);
+    this->Conclude(task, run.run, view.incarnation, EndEvidence::kNotListed);
   }
 }
 
--- a/src/libs/dispatch/target_tracker.h
+++ b/src/libs/dispatch/target_tracker.h
@@ -179,7 +179,8 @@
   /// A target on which a run stalled is avoided for this long. Short, since the run itself may be
   /// the cause.
   base::Duration avoid_after_stall = std::chrono::seconds(2);
-  /// A target that refused a run for lack of capacity or as unhealthy is avoided for this long.
+  /// A target that refused a run for lack of capacity or as unhealthy, or left its start unanswered
+  /// for good, is avoided for this long.
   base::Duration avoid_after_refusal = std::chrono::milliseconds(400);
 };
 
--- a/tests/auto/controller/fake_targets.cc
+++ b/tests/auto/controller/fake_targets.cc
@@ -304,8 +304,8 @@
     const auto start = this->last_start.find(task);
     const bool is_later = start != this->last_start.end() && start->second > ended_at;
     if (is_later && !has_lapsed) this->Report(task, "was started after it was done");
-    // "An end is taken note of when `ack-seq` reaches it, unless the worker's lease lapsed between the
-    // two; that stands for good" (RULES.md, TWICE).
+    // "An end is taken note of when `ack-seq` reaches it, unless the worker's lease lapsed between
+    // the two; that stands for good" (RULES.md, TWICE).
     if (!has_lapsed) this->noted.insert(task);
   }
 }
@@ -348,14 +348,16 @@
   });
 }
 
-void FakeTargets::Deliver(const TargetEndpoint& to, const Handler& handler,
+void FakeTargets::Deliver(RequestKind kind, const TargetEndpoint& to, const Handler& handler,
                           const OnResponse& on_response) {
-  if (this->random.Chance(this->in_doubt_probability)) {
-    this->time.After(this->one_way_ms, [this, to, handler] {
+  const std::optional<std::int64_t> late_ms =
+      this->late_by ? this->late_by(kind, to.target.id) : std::nullopt;
+  if (late_ms || this->random.Chance(this->in_doubt_probability)) {
+    this->time.After(this->one_way_ms, [this, to, handler, late_ms] {
       const FakeTarget* receiver = this->FindReachable(to);
       if (receiver == nullptr || receiver->identity.id != to.target.id) return;
       this->CarryOutLate(to, receiver->identity, handler,
-                         this->least_late_ms + this->random.Below(10'000));
+                         late_ms ? *late_ms : this->least_late_ms + this->random.Below(10'000));
     });
     this->time.After(kTimeoutMs, [this, on_response] { on_response(this->time.Now(), {}); });
     return;
@@ -410,7 +412,7 @@
 void FakeTargets::Start(const TargetEndpoint& to, const StartRequest& request,
                         OnResponse on_response) {
   this->Deliver(
-      to,
+      RequestKind::kStart, to,
       [this, request](FakeTarget& target) -> CallResponse {
         if (request.fence < target.fence) return {CallStatus::kFenced, this->ClockOf(target)};
         target.fence = request.fence;
@@ -422,7 +424,7 @@
 void FakeTargets::Stop(const TargetEndpoint& to, const StopRequest& request,
                        OnResponse on_response) {
   this->Deliver(
-      to,
+      RequestKind::kStop, to,
       [this, request](FakeTarget& target) -> CallResponse {
         if (request.fence < target.fence) return {CallStatus::kFenced, this->ClockOf(target)};
         if (this->refuses_stops) return {CallStatus::kUnhealthy, this->ClockOf(target)};
@@ -441,7 +443,7 @@
 void FakeTargets::Throttle(const TargetEndpoint& to, const ThrottleRequest& request,
                            OnResponse on_response) {
   this->Deliver(
-      to,
+      RequestKind::kThrottle, to,
       [this, request](FakeTarget& target) -> CallResponse {
         return {request.fence < target.fence ? CallStatus::kFenced : CallStatus::kDone,
                 this->ClockOf(target)};
@@ -454,7 +456,7 @@
   this->polls += 1;
   auto response = std::make_shared<PollResponse>();
   this->Deliver(
-      to,
+      RequestKind::kPoll, to,
       [this, request, response](FakeTarget& target) -> CallResponse {
         const dispatch::TargetMilliseconds clock = this->ClockOf(target);
         if (request.fence < target.fence) return {CallStatus::kFenced, clock};
--- a/tests/auto/controller/fake_targets.h
+++ b/tests/auto/controller/fake_targets.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -45,6 +46,8 @@
   base::TimePoint started_at;
 };
 
+enum class RequestKind : std::uint8_t { kStart, kStop, kThrottle, kPoll };
+
 /// One run of a gang on all its targets.
 struct FakeGang {
   std::set<workload::TaskRef> members;
@@ -108,6 +111,9 @@
   void Poll(const TargetEndpoint& to, const PollRequest& request,
             OnPollResponse on_response) override;
 
+  /// Decides for each request whether it gets no response and takes effect this many ms after it
+  /// arrives; the others are left to `in_doubt_probability`.
+  std::function<std::optional<std::int64_t>(RequestKind, const std::string& target_id)> late_by;
   /// Probability that a request gets no response and takes effect later: up to 10 s after this
   /// time.
   double in_doubt_probability = 0;
@@ -148,7 +154,8 @@
 
  private:
   using Handler = std::function<CallResponse(FakeTarget&)>;
-  void Deliver(const TargetEndpoint& to, const Handler& handler, const OnResponse& on_response);
+  void Deliver(RequestKind kind, const TargetEndpoint& to, const Handler& handler,
+               const OnResponse& on_response);
   /// Carries out a request after `late_ms`, or as soon as a target is up.
   void CarryOutLate(const TargetEndpoint& to, const workload::TargetIncarnation& receiver,
                     const Handler& handler, std::int64_t late_ms);
