Open a log although a power loss brings back some of the removed segments

DEPLOY.md: "each file that was created, renamed or removed without a sync of its directory may be kept or lost independently".

Change: each segment begins with the highest index before it. The folder is synced after the removal. FakeDisk loses each unsynced change of a name by itself, where it kept a prefix of them.

Conclusion: the disk's state is a function of the files that are there.

--- a/src/libs/storage/fake_disk.cc
+++ b/src/libs/storage/fake_disk.cc
@@ -91,6 +91,8 @@
   std::uint64_t capacity = std::numeric_limits<std::uint64_t>::max();
   std::optional<std::uint32_t> syncs_until_failure;
   std::uint64_t syncs = 0;
+  /// Null once the disk is gone, which its files may outlive.
+  const FakeDisk* owner = nullptr;
 
   std::uint64_t Used() const {
     std::uint64_t used = 0;
@@ -101,6 +103,10 @@
   void Change(std::vector<NameChange> changes) {
     for (const NameChange& change : changes) ApplyChange(this->names, change);
     this->pending.push_back(std::move(changes));
+    this->NoteChange();
+  }
+  void NoteChange() const {
+    if (this->owner != nullptr && this->owner->on_change) this->owner->on_change();
   }
 
   StorageResult<Done> CountSync(const std::string& what) {
@@ -124,6 +130,7 @@
     this->inode->unsynced_writes.push_back(this->inode->bytes.size());
     if (this->disk->capacity == std::numeric_limits<std::uint64_t>::max()) {
       this->inode->bytes += bytes;
+      this->disk->NoteChange();
       return Done{};
     }
     const std::uint64_t used = this->disk->Used();
@@ -140,6 +147,7 @@
       return counted;
     }
     this->inode->MarkSynced();
+    this->disk->NoteChange();
     return Done{};
   }
 
@@ -148,6 +156,7 @@
     this->inode->synced = std::min(this->inode->synced, this->inode->bytes.size());
     std::erase_if(this->inode->unsynced_writes,
                   [size](std::size_t begin) { return begin >= size; });
+    this->disk->NoteChange();
     return Done{};
   }
 
@@ -159,8 +168,8 @@
   InodePointer inode;
 };
 
-FakeDisk::FakeDisk() : d(std::make_shared<Private>()) {}
-FakeDisk::~FakeDisk() = default;
+FakeDisk::FakeDisk() : d(std::make_shared<Private>()) { this->d->owner = this; }
+FakeDisk::~FakeDisk() { this->d->owner = nullptr; }
 
 StorageResult<Done> FakeDisk::CreateFolder(const std::string& /*path*/) { return Done{}; }
 
@@ -203,15 +212,12 @@
     for (const NameChange& change : changes) ApplyChange(this->d->synced_names, change);
     return true;
   });
+  this->d->NoteChange();
   return Done{};
 }
 
 void FakeDisk::Crash(base::Random& random) {
-  const auto changes = static_cast<std::uint32_t>(this->d->pending.size());
-  const std::uint32_t kept_changes = random.Below(changes + 1);
-  for (std::uint32_t i = 0; i < kept_changes; ++i) {
-    for (const NameChange& change : this->d->pending[i]) ApplyChange(this->d->synced_names, change);
-  }
+  this->KeepNames(random.Bits());
   for (const auto& [path, inode] : this->d->synced_names) {
     if (random.Chance(0.5)) {
       KeepPrefix(*inode, random);
@@ -227,6 +233,41 @@
   this->LoseUnsyncedNames();
 }
 
+void FakeDisk::LoseUnsyncedBut(std::uint64_t kept_names) {
+  this->KeepNames(kept_names);
+  this->LoseUnsynced();
+}
+
+std::size_t FakeDisk::UnsyncedNames() const { return this->d->pending.size(); }
+
+void FakeDisk::KeepNames(std::uint64_t kept) {
+  constexpr std::size_t kBits = 64;
+  for (std::size_t i = 0; i < this->d->pending.size(); ++i) {
+    if (((kept >> (i % kBits)) & 1U) == 0) continue;
+    for (const NameChange& change : this->d->pending[i]) ApplyChange(this->d->synced_names, change);
+  }
+}
+
+std::unique_ptr<FakeDisk> FakeDisk::Clone() const {
+  auto clone = std::make_unique<FakeDisk>();
+  *clone->d = *this->d;
+  clone->d->owner = clone.get();
+  // Names share an inode on both disks after a rename.
+  std::map<InodePointer, InodePointer> copies;
+  const auto copy = [&](InodePointer& inode) {
+    if (!inode) return;
+    InodePointer& known = copies[inode];
+    if (!known) known = std::make_shared<Inode>(*inode);
+    inode = known;
+  };
+  for (auto& [path, inode] : clone->d->names) copy(inode);
+  for (auto& [path, inode] : clone->d->synced_names) copy(inode);
+  for (auto& changes : clone->d->pending) {
+    for (NameChange& change : changes) copy(change.inode);
+  }
+  return clone;
+}
+
 void FakeDisk::LoseUnsyncedNames() {
   this->d->names = this->d->synced_names;
   this->d->pending.clear();
--- a/src/libs/storage/fake_disk.h
+++ b/src/libs/storage/fake_disk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,12 +31,20 @@
   StorageResult<base::Done> SyncFolder(const std::string& folder) override;
 
   /// Power loss: of each file's unsynced bytes either a prefix of random length survives, sometimes
-  /// followed by zeros up to the old size, or each write survives, is lost or is torn by itself. Of
-  /// the unsynced changes of names a prefix survives.
-  /// Files open at this moment must not be used any more; an injected sync failure is forgotten.
+  /// followed by zeros up to the old size, or each write survives, is lost or is torn by itself.
+  /// Each unsynced change of a name survives or is lost by itself. Files open at this moment must
+  /// not be used any more; an injected sync failure is forgotten.
   void Crash(base::Random& random);
   /// As Crash, but nothing unsynced survives.
   void LoseUnsynced();
+  /// As LoseUnsynced, but of the unsynced changes of names, oldest first, those survive whose bit
+  /// is set.
+  void LoseUnsyncedBut(std::uint64_t kept_names);
+  [[nodiscard]] std::size_t UnsyncedNames() const;
+  /// A disk with the same contents, for a power loss of which the original knows nothing.
+  [[nodiscard]] std::unique_ptr<FakeDisk> Clone() const;
+  /// Called after each change of a file or a name, and after each sync.
+  std::function<void()> on_change;
 
   /// Total size of all files in bytes above which writes fail with kNoSpace; a write that crosses
   /// it is cut there.
@@ -57,6 +66,7 @@
   struct Private;
   friend class FakeFile;
   void LoseUnsyncedNames();
+  void KeepNames(std::uint64_t kept);
 
   std::shared_ptr<Private> d;
 };
--- a/src/libs/storage/wal.cc
+++ b/src/libs/storage/wal.cc
@@ -50,6 +50,18 @@
 /// Rebuilds entries and hard state from the records in their order.
 class Replay {
  public:
+  /// `snapshot_index`: entries up to it aren't needed.
+  explicit Replay(Index snapshot_index) : covered(snapshot_index) {}
+
+  /// Segments before the next record are missing. A removal that wasn't synced may be undone by a
+  /// power loss for each file by itself, so this is damage only if the snapshot doesn't cover them.
+  void BeginAfterGap() {
+    this->entries.clear();
+    this->is_gap_open = true;
+  }
+  /// False while the records after a gap don't show that the snapshot covers it.
+  [[nodiscard]] bool IsComplete() const { return !this->is_gap_open; }
+
   bool Apply(const WalRecord& record) {
     return std::visit([this](const auto& value) { return this->Apply(value); }, record);
   }
@@ -75,6 +87,11 @@
   bool disagrees = false;
 
  private:
+  /// Records from here on need the entries up to `last_needed`, and no others, from before.
+  void CloseGap(Index last_needed) {
+    if (last_needed <= this->covered) this->is_gap_open = false;
+  }
+
   bool Apply(const LogEntry& entry) {
     this->Apply(TruncateRecord{entry.index - 1});
     // A gap may come only after a snapshot that covers all earlier entries.
@@ -90,12 +107,15 @@
     return true;
   }
   bool Apply(const TruncateRecord& record) {
+    this->CloseGap(record.last_kept);
     while (!this->entries.empty() && this->entries.back().index > record.last_kept) {
       this->entries.pop_back();
     }
     return true;
   }
 
+  Index covered = 0;
+  bool is_gap_open = false;
   std::vector<LogEntry> entries;
 };
 
@@ -145,14 +165,18 @@
     return this->Write(bytes);
   }
 
-  /// Opens a new last segment that starts with the hard state, since older segments may be removed.
+  /// Opens a new last segment that starts with the hard state, since older segments may be removed,
+  /// and with the highest index that they contain, so that it is known whether a missing one was.
   StorageResult<Done> AddSegment(std::uint64_t sequence) {
     Segment segment{sequence, SegmentPath(this->folder, sequence), 0};
+    Index highest = 0;
+    for (const Segment& earlier : this->segments) highest = std::max(highest, earlier.last_index);
     auto opened = this->files.Open(segment.path);
     if (!base::Ok(opened)) return base::ErrorOf(opened);
     std::unique_ptr<File> next = std::move(base::ValueOf(opened));
     std::string bytes = internal::EncodeFileHeader(sequence);
     internal::EncodeRecord(bytes, sequence, internal::EncodeHardState(this->hard_state));
+    internal::EncodeRecord(bytes, sequence, internal::EncodeTruncate({highest}));
     auto written = next->Append(bytes);
     if (!base::Ok(written)) {
       // A crash could bring the file back after the segment before it, which stays in use.
@@ -204,11 +228,13 @@
   }
 
   StorageResult<Done> RemoveSegmentsCoveredBy(Index index) {
+    bool has_removed = false;
     while (this->segments.size() > 1 && this->segments.front().last_index <= index) {
       MANGOROAD_RETURN_IF_FAILED(this->files.Remove(this->segments.front().path));
       this->segments.erase(this->segments.begin());
+      has_removed = true;
     }
-    return Done{};
+    return has_removed ? this->files.SyncFolder(this->folder) : Done{};
   }
 
   StorageResult<std::uint64_t> ReadSegments(Replay& replay);
@@ -218,12 +244,12 @@
 /// Returns the size of the whole records in the last segment; changes nothing.
 StorageResult<std::uint64_t> Wal::Private::ReadSegments(Replay& replay) {
   std::uint64_t valid_bytes = 0;
+  const Segment* after_gap = nullptr;
   for (Segment& segment : this->segments) {
     const bool last = &segment == &this->segments.back();
     if (&segment != &this->segments.front() && (&segment)[-1].sequence + 1 != segment.sequence) {
-      return StorageError{
-          StorageErrorKind::kDamaged,
-          fmt::format("{} at offset 0: the segment before it is missing", segment.path)};
+      replay.BeginAfterGap();
+      after_gap = &segment;
     }
     const auto bytes = this->files.Read(segment.path);
     if (!base::Ok(bytes)) return base::ErrorOf(bytes);
@@ -243,6 +269,11 @@
     }
     segment.last_index = replay.last_index;
   }
+  if (!replay.IsComplete()) {
+    return StorageError{
+        StorageErrorKind::kDamaged,
+        fmt::format("{} at offset 0: the segment before it is missing", after_gap->path)};
+  }
   return valid_bytes;
 }
 
@@ -279,7 +310,7 @@
 
   auto snapshot = internal::ReadNewestSnapshot(files, folder, base::ValueOf(names));
   if (!base::Ok(snapshot)) return base::ErrorOf(snapshot);
-  Replay replay;
+  Replay replay(base::ValueOf(snapshot) ? base::ValueOf(snapshot)->index : 0);
   const auto valid_bytes = parts->ReadSegments(replay);
   if (!base::Ok(valid_bytes)) return base::ErrorOf(valid_bytes);
   auto entries = replay.EntriesAfter(base::ValueOf(snapshot));
--- a/tests/auto/storage/tst_wal.cc
+++ b/tests/auto/storage/tst_wal.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
+#include <memory>
 
 #include "base/random.h"
 #include "storage/fake_disk.h"
@@ -311,6 +313,91 @@
   }
 }
 
+// Guards against a power loss that brings back some of the segments that a snapshot covers, or
+// undoes some other change of the folder, so that the replica never starts again (review/6).
+TEST_CASE("a power loss at any operation leaves a log that opens, whatever names survive") {
+  FakeDisk disk;
+  OpenedWal opened = Open(disk, 400);
+  // What a power loss must leave, and the latest that it may.
+  Index synced = 0;
+  Index written = 0;
+  Index snapshot = 0;
+  std::size_t losses = 0;
+  std::size_t most_names = 0;
+  const auto lose_power = [&](std::uint64_t kept_names) {
+    INFO("kept names " << kept_names << ", synced up to " << synced << ", snapshot " << snapshot);
+    const std::unique_ptr<FakeDisk> clone = disk.Clone();
+    clone->LoseUnsyncedBut(kept_names);
+    const OpenedWal again = Open(*clone, 400);
+    const Index base = again.snapshot ? again.snapshot->index : 0;
+    REQUIRE(base >= snapshot);
+    const Index last = again.entries.empty() ? base : again.entries.back().index;
+    REQUIRE(last >= synced);
+    REQUIRE(last <= std::max(written, base));
+    REQUIRE(again.entries == Entries(base + 1, last, 1));
+    REQUIRE(again.hard_state.term >= synced / 10);
+    losses += 1;
+  };
+  disk.on_change = [&] {
+    const std::size_t names = std::min<std::size_t>(disk.UnsyncedNames(), 10);
+    most_names = std::max(most_names, names);
+    for (std::uint64_t kept = 0; kept < (std::uint64_t{1} << names); ++kept) lose_power(kept);
+  };
+  for (Index index = 1; index <= 240; ++index) {
+    written = index;
+    REQUIRE(base::Ok(opened.wal->Append(Entries(index, index, 1))));
+    if (index % 10 == 0) {
+      REQUIRE(base::Ok(opened.wal->SaveHardState({index / 10, "b", index})));
+    }
+    REQUIRE(base::Ok(opened.wal->Sync()));
+    synced = index;
+    if (index % 25 == 0) {
+      REQUIRE(base::Ok(opened.wal->SaveSnapshot({index - 3, 1, "members", "state"})));
+      snapshot = index - 3;
+    }
+  }
+  // Otherwise no snapshot has removed several segments.
+  CHECK(most_names >= 3);
+  CHECK(losses > 1'000);
+}
+
+// Guards against acknowledged entries that are dropped silently: a gap that no snapshot covers is
+// damage, also where the segments behind it have no entries.
+TEST_CASE("a gap behind the snapshot is damage") {
+  FakeDisk disk;
+  {
+    OpenedWal opened = Open(disk, 256);
+    for (Index index = 1; index <= 30; ++index) Store(*opened.wal, Entries(index, index, 1));
+    REQUIRE(base::Ok(opened.wal->SaveSnapshot({12, 1, "members", "state"})));
+  }
+  disk.LoseUnsynced();
+  const auto names = disk.List("data");
+  REQUIRE(base::Ok(names));
+  std::vector<std::string> segments;
+  std::ranges::copy_if(base::ValueOf(names), std::back_inserter(segments),
+                       [](const auto& name) { return name.starts_with("wal-"); });
+  REQUIRE(segments.size() > 4);
+  SECTION("before entries") {
+    REQUIRE(base::Ok(disk.Remove("data/" + segments[segments.size() - 3])));
+    CHECK(OpenError(disk).message.find(segments[segments.size() - 2]) != std::string::npos);
+  }
+  SECTION("before a segment without entries") {
+    disk.LoseUnsynced();
+    // The last segment has just begun.
+    OpenedWal opened = Open(disk, 256);
+    Index next = 31;
+    const std::size_t before = opened.wal->SegmentCount();
+    while (opened.wal->SegmentCount() == before) {
+      Store(*opened.wal, Entries(next, next, 1));
+      next += 1;
+    }
+    opened.wal.reset();
+    disk.LoseUnsynced();
+    REQUIRE(base::Ok(disk.Remove("data/" + segments.back())));
+    CHECK(OpenError(disk).message.find("the segment before it is missing") != std::string::npos);
+  }
+}
+
 // Guards against entries of an abandoned branch that come back behind an installed snapshot.
 TEST_CASE("an installed snapshot voids a log that disagrees with it") {
   FakeDisk disk;
