--- a/tests/auto/platform/tst_wire_json.cc
+++ b/tests/auto/platform/tst_wire_json.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -142,6 +143,23 @@
   }
 }
 
+// Guards against an announcement of another writer that counts as one of the target it names, so
+// that its sequence number shuts out the target's own (review/10, LOST).
+TEST_CASE("an announcement without one of its fields, or with another type, is refused") {
+  const nlohmann::json whole = nlohmann::json::parse(kAnnouncement);
+  for (const std::string field :
+       {"service", "addr", "zone", "version", "slots", "state", "cold-left-ms", "room", "seq"}) {
+    INFO(field);
+    nlohmann::json announcement = whole;
+    announcement.erase(field);
+    CHECK_FALSE(base::Ok(DecodeAnnouncement("i-1", announcement.dump())));
+    announcement[field] = whole[field].is_string() ? nlohmann::json(7) : nlohmann::json("7");
+    CHECK_FALSE(base::Ok(DecodeAnnouncement("i-1", announcement.dump())));
+    announcement[field] = nullptr;
+    CHECK_FALSE(base::Ok(DecodeAnnouncement("i-1", announcement.dump())));
+  }
+}
+
 // Guards against an odd entry of another writer that ends the process: very deeply nested values
 // exhausted the stack when they were copied or printed.
 TEST_CASE("deeply nested bodies are refused") {
