--- a/src/libs/controller/run_logging.cc
+++ b/src/libs/controller/run_logging.cc
@@ -23,6 +23,7 @@
              {"lasting_tasks", backlog.long_running_tasks},
              {"largest_short_cpu", backlog.largest_short_cpu},
              {"largest_lasting_cpu", backlog.largest_long_running_cpu},
+             {"unconfirmed_filling", this->unconfirmed_starts.size()},
              {"usable_targets", backlog.usable_targets},
              {"kept_targets", backlog.reserved_targets},
              {"free_cpu", backlog.free_cpu},
--- a/src/libs/controller/run_manager.cc
+++ b/src/libs/controller/run_manager.cc
@@ -145,9 +145,11 @@
 void RunManager::Conclude(const TaskRef& task, std::uint32_t run, const TargetIncarnation& target,
                           EndEvidence evidence) {
   if (!this->concluded.emplace(task, run).second) return;
-  const bool has_begun = evidence != EndEvidence::kNotSent && evidence != EndEvidence::kRefused &&
-                         evidence != EndEvidence::kRuledOut;
-  const RunEnd how = has_begun ? RunEnd::kLost : RunEnd::kRefused;
+  const bool may_have_begun = evidence == EndEvidence::kNotListed ||
+                              evidence == EndEvidence::kLeaseExpired ||
+                              evidence == EndEvidence::kIncarnationEnded;
+  const RunEnd how = may_have_begun ? RunEnd::kLost : RunEnd::kRefused;
+  const TargetView* view = this->targets.Find(target.id);
   log::Info(log::Category::kJobs, "run concluded",
             {{"task", workload::ToText(task)},
              {"run", run},
@@ -155,7 +157,7 @@
              {"birth", target.number},
              {"how", base::NameOf(workload::kRunEndNames, how)},
              {"evidence", base::NameOf(kEndEvidenceNames, evidence)},
-             {"fence", this->targets.Find(target.id) ? this->targets.Find(target.id)->fence : 0}});
+             {"fence", view == nullptr ? 0 : view->fence}});
   this->ends.push_back({task, run, target, how, {}, 0});
 }
 
