Count a target's clock as evidence for later lists only

A list without a run, in a response whose clock is past the deadline of its start, freed the task.

Change: the clock of a response counts from the next lists on. A higher fence still counts at once, since a target sees it before it reads its lists. The comments no longer say that requests can't arrive at a later incarnation after 2 s, which the connection doesn't guarantee.

Tests: all of tst_controller pass; the case isn't reproduced, since the fake targets read both at once.

--- a/src/libs/controller/outstanding_starts.h
+++ b/src/libs/controller/outstanding_starts.h
@@ -27,11 +27,12 @@
   base::TimePoint latest;
 };
 
-/// What a response of an incarnation shows. All that it lists was read later than both.
+/// What a response of an incarnation shows.
 struct TargetEvidence {
   workload::TargetIncarnation target;
   /// The fence of the request that was answered.
   Fence fence = 0;
+  /// 0 when it doesn't count.
   dispatch::TargetMilliseconds clock = 0;
 };
 
--- a/src/libs/controller/run_manager.h
+++ b/src/libs/controller/run_manager.h
@@ -71,7 +71,7 @@
   /// A start isn't requested any more this long after it was committed.
   base::Duration start_window = std::chrono::seconds(5);
   /// A request without a response is given up no later than this: it may wait 1 s for its delegate
-  /// and 700 ms for a connection. A later incarnation can't receive it after that.
+  /// and 700 ms for a connection.
   base::Duration longest_response_time = std::chrono::seconds(2);
   /// A request that gets no response is carried out no later than this. It arrives within 4 s (1 s
   /// at its delegate, 3 s until a connection drops what it couldn't send), and the platform's kinds
@@ -177,6 +177,13 @@
                       const PollResponse& response);
   void ApplyLists(base::TimePoint now, dispatch::TargetView& view, base::TimePoint sent_at,
                   Fence sent_fence, const dispatch::TargetLists& lists);
+  /// A task and the number of a run. The end of an earlier run of a task may still be listed while
+  /// a later one is due.
+  using ListedRun = std::pair<const workload::TaskRef*, std::uint32_t>;
+  /// Accounts for the runs that complete lists don't contain.
+  void ApplyAbsences(base::TimePoint now, dispatch::TargetView& view, base::TimePoint sent_at,
+                     bool first_contact, std::vector<ListedRun> listed,
+                     const dispatch::TargetLists& lists);
   /// What becomes of a run that a complete list doesn't contain.
   void ApplyAbsence(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task,
                     dispatch::RunView& run, base::TimePoint sent_at, bool first_contact);
@@ -207,7 +214,8 @@
   void SendStart(base::TimePoint now, dispatch::TargetView& view, const workload::TaskRef& task);
   /// Until when a later incarnation is taken to carry out a start request that is sent now. A
   /// long-running task has to run again within 6 s of its last run (rule LOST), which is sooner
-  /// than late requests are over, so for these it counts only what arrives there in time.
+  /// than late requests are over. For these, only the time counts until the request is given up,
+  /// which isn't certain.
   [[nodiscard]] base::TimePoint LatestExecution(base::TimePoint now,
                                                 const dispatch::RunView& run) const;
   [[nodiscard]] static bool IsLongRunning(const dispatch::RunView& run);
--- a/src/libs/controller/target_polls.cc
+++ b/src/libs/controller/target_polls.cc
@@ -29,9 +29,6 @@
 /// Interval of polls while runs of a former incarnation are to be accounted for.
 constexpr base::Duration kFormerRunsPollInterval = std::chrono::milliseconds(20);
 
-/// The end of an earlier run of a task may still be listed while a later one is due.
-using ListedRun = std::pair<const TaskRef*, std::uint32_t>;
-
 /// A target is polled without an acknowledgement that waits for the responses to starts this often,
 /// so that new ends are noticed; it responds at once, since it lists ends.
 constexpr base::Duration kWithheldPollInterval = std::chrono::milliseconds(50);
@@ -312,7 +309,16 @@
   const bool has_new_rates = this->UpdateThrottling(now, view);
   view.has_pending_requests = view.has_pending_requests || has_new_rates || first_contact;
   view.is_fenced = view.is_fenced || first_contact;
+  // The target has seen the fence before it read the lists. The pages don't say so of its clock,
+  // which therefore counts for the next lists only.
+  this->outstanding_starts.OnResponded(sent_at, {view.incarnation, sent_fence, 0});
+  this->ApplyAbsences(now, view, sent_at, first_contact, std::move(listed), lists);
   this->outstanding_starts.OnResponded(sent_at, {view.incarnation, sent_fence, lists.clock});
+}
+
+void RunManager::ApplyAbsences(base::TimePoint now, TargetView& view, base::TimePoint sent_at,
+                               bool first_contact, std::vector<ListedRun> listed,
+                               const dispatch::TargetLists& lists) {
   if (lists.is_partial) return;
   this->NoteFormerRuns(view, sent_at, lists);
   const auto by_value = [](const ListedRun& row) { return std::tie(*row.first, row.second); };
