Test that an unanswered long-running start raises the fence of its target

Cause: with the higher fence of the next poll taken out of the code, the tests of unanswered starts still passed: the deadlines of starts, 3.5 s after they were sent, settle them as well, only later.

--- a/tests/auto/controller/tst_unanswered_starts.cc
+++ b/tests/auto/controller/tst_unanswered_starts.cc
@@ -87,5 +87,19 @@
   }
 }
 
+// Guards against a long-running task that waits until the deadline of its unanswered start is over,
+// and against a late start that begins after its task was freed: the next poll rules it out.
+TEST_CASE("the poll after an unanswered start of a long-running task raises the fence") {
+  LateDay day(200, 0, 60'000);
+  const Fence of_start = day.targets.All().at("t0").fence;
+  CHECK(day.Running() == 0);
+  // The start has timed out, and the poll after it was answered.
+  day.simulation.RunFor(300);
+  CHECK(day.targets.All().at("t0").fence > of_start);
+  // t1 announces itself each 1.5 s.
+  day.simulation.RunFor(1'700);
+  CHECK(day.Running() == 2);
+}
+
 }  // namespace
 }  // namespace mangoroad::controller
