--- a/src/libs/storage/wal.cc
+++ b/src/libs/storage/wal.cc
@@ -310,10 +310,11 @@
 
   auto snapshot = internal::ReadNewestSnapshot(files, folder, base::ValueOf(names));
   if (!base::Ok(snapshot)) return base::ErrorOf(snapshot);
-  Replay replay(base::ValueOf(snapshot) ? base::ValueOf(snapshot)->index : 0);
+  const std::optional<Snapshot>& newest = base::ValueOf(snapshot);
+  Replay replay(newest ? newest->index : 0);
   const auto valid_bytes = parts->ReadSegments(replay);
   if (!base::Ok(valid_bytes)) return base::ErrorOf(valid_bytes);
-  auto entries = replay.EntriesAfter(base::ValueOf(snapshot));
+  auto entries = replay.EntriesAfter(newest);
   if (!entries) {
     return StorageError{StorageErrorKind::kDamaged,
                         fmt::format("{} at offset 0: entries before the first one are missing",
